--- /dev/null
+++ b/run.py
@@ -0,0 +1,14 @@
+"""Start spindleglade from a checkout: dependencies come from target/deps, as the deploy file built them."""
+
+import os
+import sys
+
+ROOT = os.path.dirname(os.path.abspath(__file__))
+sys.path[:0] = [ROOT, os.path.join(ROOT, "target", "deps")]
+# Controllers may not write beside their sources; the build leaves the compiled files here.
+sys.pycache_prefix = os.path.join(ROOT, "target", "pycache")
+
+from spindleglade.cli import main  # noqa: E402  (the path must be set first)
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/spindleglade/__init__.py
@@ -0,0 +1,1 @@
+"""spindleglade: a cluster scheduler that backfills by run-time distributions."""
--- /dev/null
+++ b/spindleglade/app.py
@@ -0,0 +1,199 @@
+"""Wires the slices into one node."""
+
+import logging
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.python.threadpool import ThreadPool
+
+from spindleglade.clock import Clock, seconds
+from spindleglade.fleet.client import CloudClient
+from spindleglade.fleet.types import TypeBook
+from spindleglade.leadership.election import Election, Term
+from spindleglade.leadership.links import Forward, LinkDown, Links, Ping, Relay
+from spindleglade.reign import Reign
+from spindleglade.settings import OperatorSettings, Platform
+from spindleglade.settings.platform import split_address
+from spindleglade.store.client import StateClient
+from spindleglade.store.replica import Replica
+from spindleglade.submissions.api import UserApi
+from spindleglade.submissions.records import JOBS, PREFIX, JobRecord, JobViews
+from spindleglade.web import Answer, HttpClient, site
+from spindleglade.workers.api import WorkerApi
+from spindleglade.workers.messages import Report, ReportAnswer, decode_report
+
+log = logging.getLogger("spindleglade")
+
+
+class Node:
+    def __init__(self, platform: Platform, settings: OperatorSettings, clock: Clock, reactor: Any) -> None:
+        self._platform = platform
+        self._settings = settings
+        self._clock = clock
+        self._reactor = reactor
+        params = platform.params
+        self._pool = ThreadPool(1, 1, "planning")
+        self._http = HttpClient(reactor, per_host=8)
+        self.client = StateClient(
+            self._http,
+            platform.external.state,
+            clock,
+            params.state,
+            platform.nodes,
+            seconds(settings.store.timeout_s),
+        )
+        self.replica = Replica(
+            self.client, clock, PREFIX, seconds(settings.store.watch_s), seconds(settings.store.confirm_s)
+        )
+        self.views = JobViews()
+        self.replica.listen(self.views.listener)
+        self.cloud = CloudClient(self._http, platform.external.cloud, clock, params.cloud.rps, seconds(4))
+        self.types = TypeBook(
+            self.cloud, self.client, self.replica, clock, settings.fleet.types_s, lambda: self.leads
+        )
+        self.election = Election(
+            platform.name,
+            self.client,
+            self.replica,
+            clock,
+            seconds(settings.leadership.lease_s),
+            self._won,
+            self._lost,
+        )
+        self.reign: Reign | None = None
+        self.replica.listen(self._job_changed)
+        self.links = Links(
+            reactor,
+            clock,
+            platform.siblings,
+            seconds(settings.leadership.ping_s),
+            self._hello,
+            self._relayed,
+            self._forwarded,
+            self._saw,
+        )
+        self.users = UserApi(
+            self.client, self.replica, self.views, platform.teams, self.types.shapes, self._forward
+        )
+        workers = params.workers
+        self.workers = WorkerApi(
+            clock,
+            self.replica,
+            self.views,
+            workers.cancel - workers.lease - seconds(settings.workers.cancel_margin_s),
+            self._lead,
+            lambda: self.leads,
+            self._relay,
+            self.election.saw_token,
+        )
+
+    @property
+    def leads(self) -> bool:
+        return self.reign is not None and self.reign.active
+
+    def start(self) -> None:
+        self._pool.start()
+        self._reactor.addSystemEventTrigger("before", "shutdown", self._pool.stop)
+        for address, factory in (
+            (self._platform.client_listen, site(self.handle)),
+            (self._platform.peer_listen, self.links.factory()),
+        ):
+            host, port = split_address(address)
+            listening = TCP4ServerEndpoint(self._reactor, port, backlog=512, interface=host).listen(factory)
+            listening.addErrback(self._not_listening, address)
+        self.replica.start()
+        self.types.start()
+        self.election.start()
+        self.links.start()
+        log.info("started node=%s zone=%s", self._platform.name, self._platform.zone)
+
+    def _not_listening(self, failure: Any, address: str) -> None:
+        log.error("cannot listen address=%s reason=%s", address, failure.getErrorMessage())
+        self._reactor.stop()
+
+    async def handle(self, method: str, path: str, body: bytes) -> Answer:
+        if path == "/v1/report":
+            return await self.workers.handle(method, path, body)
+        return await self.users.handle(method, path, body)
+
+    # Leadership.
+
+    def _won(self, term: Term) -> None:
+        self.reign = Reign(
+            term,
+            self._platform,
+            self._settings,
+            self._clock,
+            self._reactor,
+            self._pool,
+            self._http,
+            self.client,
+            self.cloud,
+            self.types,
+            self.election.step_down,
+        )
+        self.reign.start()
+
+    def _lost(self, reason: str) -> None:
+        if self.reign is not None:
+            reign, self.reign = self.reign, None
+            reign.end()
+
+    def _job_changed(self, key: str, value: bytes | None, mark: int) -> None:
+        if self.reign is not None and key.startswith(JOBS) and value is not None:
+            self.reign.job_changed(msgspec.json.decode(value, type=JobRecord), mark)
+
+    def _lead(self, report: Report) -> ReportAnswer | None:
+        return self.reign.report(report) if self.reign is not None else None
+
+    # Siblings.
+
+    def _hello(self) -> Ping:
+        confirmed = self.replica.confirmed
+        age = None if confirmed is None else int((self._clock.now() - confirmed) / timedelta(milliseconds=1))
+        return Ping(self._platform.name, self.election.highest, self.leads, age)
+
+    def _saw(self, ping: Ping) -> None:
+        self.election.saw_token(ping.token)
+
+    async def _relay(self, report: bytes) -> bytes | None:
+        """A worker's report to the leader; nothing if there is none to be reached."""
+        leader = self.election.leader
+        link = None if leader is None else self.links.to(leader.node)
+        if link is None:
+            return None
+        try:
+            timeout = seconds(self._settings.workers.relay_timeout_s)
+            return (await link.ask(lambda number: Relay(number, report), timeout)).answer
+        except LinkDown:
+            return None
+
+    async def _relayed(self, report: bytes) -> bytes | None:
+        if not self.leads:
+            return None
+        try:
+            decoded = decode_report(report)
+        except msgspec.DecodeError as error:
+            log.warning("relayed report dropped reason=%s", error)
+            return None
+        answer = self.workers.lead(decoded)
+        return b"" if answer is None else answer
+
+    async def _forward(self, method: str, path: str, body: bytes) -> Answer | None:
+        """A user's request to a sibling that has lately reached the store."""
+        limit = self._settings.store.confirm_s * 3000
+        for link in self.links.links:
+            ping = link.state
+            if not link.up or ping is None or ping.unconfirmed_ms is None or ping.unconfirmed_ms > limit:
+                continue
+            try:
+                answer = await link.ask(lambda number: Forward(number, method, path, body), seconds(1))
+            except LinkDown:
+                continue
+            return Answer(answer.status, answer.body, answer.retry_after)
+        return None
+
+    async def _forwarded(self, method: str, path: str, body: bytes) -> Answer:
+        return await self.users.handle(method, path, body, may_forward=False)
--- /dev/null
+++ b/spindleglade/backfill/rounds.py
@@ -0,0 +1,86 @@
+"""Runs planning rounds in one thread: snapshot under the ledger's lock, plan without it, take over what still
+holds."""
+
+import logging
+import time
+from collections.abc import Callable
+from datetime import timedelta
+
+from twisted.internet.defer import Deferred
+from twisted.internet.threads import deferToThreadPool
+from twisted.python.threadpool import ThreadPool
+
+from spindleglade.backfill.planner import Plan, Planner
+from spindleglade.clock import Clock, sleep
+from spindleglade.tasks import spawn
+from spindleglade.workers.ledger import Ledger
+
+log = logging.getLogger("spindleglade.backfill")
+
+
+class Rounds:
+    def __init__(
+        self,
+        ledger: Ledger,
+        planner: Planner,
+        clock: Clock,
+        reactor: object,
+        pool: ThreadPool,
+        least: timedelta,
+        planned: Callable[[Plan, int], None],
+        broken: Callable[[str], None],
+    ) -> None:
+        self._ledger = ledger
+        self._planner = planner
+        self._clock = clock
+        self._reactor = reactor
+        self._pool = pool
+        self._least = least
+        self._planned = planned
+        self._broken = broken
+        self._wanted = True
+        self._idle: Deferred[None] | None = None
+        self._stopped = False
+
+    def start(self) -> None:
+        spawn(self._run(), "planning", self._broken)
+
+    def stop(self) -> None:
+        self._stopped = True
+        self.wake()
+
+    def wake(self) -> None:
+        self._wanted = True
+        if self._idle is not None:
+            idle, self._idle = self._idle, None
+            idle.callback(None)
+
+    async def _run(self) -> None:
+        while not self._stopped:
+            if not self._wanted:
+                self._idle = Deferred()
+                await self._idle
+                continue
+            self._wanted = False
+            began = self._clock.now()
+            plan, cpu = await deferToThreadPool(self._reactor, self._pool, self._plan, began)
+            if self._stopped:
+                return
+            placed = self._ledger.apply(plan, self._clock.now())
+            log.debug(
+                "planned starts=%d stops=%d unmet=%d head=%s checks=%d cpu_ms=%.1f",
+                placed,
+                len(plan.stops),
+                len(plan.unmet),
+                plan.head,
+                plan.checks,
+                cpu * 1000,
+            )
+            self._planned(plan, placed)
+            # A long queue makes rounds long; they may not take all of the processor.
+            await sleep(self._clock, max(self._least, (self._clock.now() - began) * 2))
+
+    def _plan(self, now: timedelta) -> tuple[Plan, float]:
+        began = time.thread_time()
+        snapshot = self._ledger.snapshot(now)
+        return self._planner.plan(snapshot), time.thread_time() - began
--- /dev/null
+++ b/spindleglade/cli.py
@@ -0,0 +1,79 @@
+"""The command line: `serve` runs a controller, `check` only reads its settings."""
+
+import argparse
+import logging
+import os
+import sys
+from collections.abc import Sequence
+from datetime import UTC, datetime
+
+from spindleglade.settings import OperatorSettings, Platform, SettingsError, load_operator, load_platform
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+class _Parser(argparse.ArgumentParser):
+    """Says what is wrong in one line."""
+
+    def error(self, message: str) -> None:  # type: ignore[override]
+        self.exit(2, f"{self.prog}: command line: {message}\n")
+
+
+def parser() -> argparse.ArgumentParser:
+    made = _Parser(prog="spindleglade", description="A cluster scheduler that backfills by distributions.")
+    commands = made.add_subparsers(dest="command", required=True, parser_class=_Parser)
+    for name, text in (("serve", "run one controller"), ("check", "check the settings and exit")):
+        command = commands.add_parser(name, help=text, description=text)
+        command.add_argument("--settings", metavar="FILE.hcl", help="the operators' own settings, in HCL")
+        command.add_argument("--config", metavar="FILE", required=True, help="the platform's JSON settings")
+    return made
+
+
+class _Format(logging.Formatter):
+    def __init__(self, node: str) -> None:
+        super().__init__(f"%(asctime)s %(levelname)s {node} %(name)s %(message)s")
+
+    def formatTime(self, record: logging.LogRecord, datefmt: str | None = None) -> str:
+        return datetime.fromtimestamp(record.created, UTC).isoformat(timespec="milliseconds")
+
+
+def set_up_logging(settings: OperatorSettings, node: str) -> None:
+    level = os.environ.get("LOG_LEVEL") or settings.log.level
+    if level not in LEVELS:
+        raise SettingsError("environment", "LOG_LEVEL", f"{level!r} is not one of {', '.join(LEVELS)}")
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(_Format(node))
+    logging.basicConfig(level=LEVELS[level], handlers=[handler], force=True)
+    # Threads and processes are not shown; finding them out costs time on each line.
+    logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
+
+
+def serve(platform: Platform, settings: OperatorSettings) -> int:
+    # Imported late, so that a bad settings file is told of at once.
+    from twisted.internet import reactor
+    from twisted.python.log import PythonLoggingObserver
+
+    from spindleglade.app import Node
+    from spindleglade.clock import ReactorClock
+
+    PythonLoggingObserver("twisted").start()
+    logging.getLogger("twisted").setLevel(logging.ERROR)
+    node = Node(platform, settings, ReactorClock(reactor), reactor)
+    reactor.callWhenRunning(node.start)  # type: ignore[attr-defined]
+    reactor.run()  # type: ignore[attr-defined]
+    return 0
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    options = parser().parse_args(arguments)
+    try:
+        platform = load_platform(options.config)
+        settings = load_operator(options.settings)
+        set_up_logging(settings, platform.name)
+    except SettingsError as error:
+        print(f"spindleglade: {error}", file=sys.stderr)
+        return 2
+    if options.command == "check":
+        print("settings are good")
+        return 0
+    return serve(platform, settings)
--- /dev/null
+++ b/spindleglade/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The machines rented from the cloud: types, renting, listing, giving back."""
--- /dev/null
+++ b/spindleglade/fleet/demand.py
@@ -0,0 +1,162 @@
+"""How many machines of which kind to rent for the work that found no room. Pure logic.
+
+Waiting tasks are packed onto the machines that are booting; what is left over is packed onto machines to be
+rented, of the kind that runs it at the least price, counting for spot machines the work lost when they are
+taken away.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from spindleglade.backfill.planner import JobView, Unmet
+from spindleglade.fleet.messages import MachineType
+from spindleglade.settings.platform import Team
+
+_EPS = 1e-6
+Kind = tuple[str, str, bool]
+
+
+@dataclass(slots=True)
+class Offer:
+    """A kind of machine that may be had now."""
+
+    type: MachineType
+    zone: str
+    spot: bool
+    # Share of a task's work that is expected to be lost and repeated on such a machine.
+    loss: float = 0.0
+
+    @property
+    def kind(self) -> Kind:
+        return (self.type.name, self.zone, self.spot)
+
+    @property
+    def price(self) -> float:
+        return (self.type.spot_price if self.spot else self.type.price) * (1 + self.loss)
+
+
+@dataclass(slots=True)
+class Room:
+    """A machine on its way: what is still free on it once it is up."""
+
+    type: str
+    zone: str
+    spot: bool
+    cpus: float
+    gpus: float
+    memory: float
+
+    def take(self, job: JobView) -> bool:
+        if (
+            not _suits(job, self.type, self.zone, self.spot)
+            or job.cpus > self.cpus + _EPS
+            or job.gpus > self.gpus + _EPS
+            or job.memory > self.memory + _EPS
+        ):
+            return False
+        self.cpus -= job.cpus
+        self.gpus -= job.gpus
+        self.memory -= job.memory
+        return True
+
+
+def _suits(job: JobView, type: str, zone: str, spot: bool) -> bool:
+    return (
+        (job.types is None or type in job.types)
+        and (job.zone is None or job.zone == zone)
+        and (job.spot or not spot)
+        and not (job.one_zone and any(count and at != zone for at, count in job.zones.items()))
+    )
+
+
+def _per_machine(job: JobView, type: MachineType) -> int:
+    fits = [type.cpus / job.cpus]
+    if job.gpus > 0:
+        fits.append(type.gpus / job.gpus)
+    if job.memory > 0:
+        fits.append(type.memory_gb / job.memory)
+    return int(min(fits) + _EPS)
+
+
+def rentals(
+    unmet: list[Unmet],
+    booting: list[Room],
+    offers: list[Offer],
+    teams: dict[str, Team],
+    used_cpus: dict[str, float],
+    most: int,
+) -> list[tuple[Offer, int]]:
+    rooms = list(booting)
+    wanted: dict[Kind, int] = {}
+    by_kind = {offer.kind: offer for offer in offers}
+    used = dict(used_cpus)
+    for entry in unmet:
+        job = entry.job
+        team = teams.get(job.team)
+        if team is None:
+            continue
+        for _ in range(min(entry.count, most * 64)):
+            if used.get(job.team, 0.0) + job.cpus > team.cpus_max + _EPS:
+                break
+            if not any(room.take(job) for room in rooms):
+                if sum(wanted.values()) >= most:
+                    break
+                offer = _cheapest(job, offers)
+                if offer is None:
+                    break
+                wanted[offer.kind] = wanted.get(offer.kind, 0) + 1
+                room = Room(
+                    offer.type.name,
+                    offer.zone,
+                    offer.spot,
+                    offer.type.cpus,
+                    offer.type.gpus,
+                    offer.type.memory_gb,
+                )
+                room.take(job)
+                rooms.append(room)
+            used[job.team] = used.get(job.team, 0.0) + job.cpus
+    return [(by_kind[kind], count) for kind, count in wanted.items()]
+
+
+def _cheapest(job: JobView, offers: list[Offer]) -> Offer | None:
+    """The least price for each CPU the job's tasks can use; among equals the smaller machine, which stands
+    idle less, then the zone as given."""
+    best, best_score = None, None
+    for offer in offers:
+        fits = _per_machine(job, offer.type)
+        if fits == 0 or not _suits(job, offer.type.name, offer.zone, offer.spot):
+            continue
+        # Of a machine that the job's shape cannot fill, the rest may serve others: it counts half.
+        filled = min(1.0, fits * job.cpus / offer.type.cpus)
+        score = (offer.price / (offer.type.cpus * (filled + 1) / 2), offer.type.cpus)
+        if best_score is None or score < best_score:
+            best, best_score = offer, score
+    return best
+
+
+@dataclass(slots=True)
+class Pause:
+    """How long a kind that was refused is left alone."""
+
+    until: timedelta
+    length: timedelta
+
+
+class Refusals:
+    def __init__(self, first: timedelta, most: timedelta) -> None:
+        self._first = first
+        self._most = most
+        self._pauses: dict[Kind, Pause] = {}
+
+    def refused(self, kind: Kind, now: timedelta) -> None:
+        pause = self._pauses.get(kind)
+        length = self._first if pause is None else min(pause.length * 2, self._most)
+        self._pauses[kind] = Pause(now + length, length)
+
+    def granted(self, kind: Kind) -> None:
+        self._pauses.pop(kind, None)
+
+    def open(self, kind: Kind, now: timedelta) -> bool:
+        pause = self._pauses.get(kind)
+        return pause is None or now >= pause.until
--- /dev/null
+++ b/spindleglade/fleet/manager.py
@@ -0,0 +1,254 @@
+"""The leader's dealings with the cloud: renting for demand, giving back what stands idle or is lost.
+
+A machine's release is also the one proof that does not need its worker: once the cloud has answered 200, the
+machine and all on it are gone. So the silent ones are released before their tasks are placed anew.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from spindleglade.backfill.planner import Unmet
+from spindleglade.clock import ZERO, Clock, seconds, sleep
+from spindleglade.fleet.client import MOST_RELEASED, MOST_RENTED, CloudClient, NoCapacity, Refused, Silent
+from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, rentals
+from spindleglade.fleet.messages import Listed, MachineType, Rent
+from spindleglade.settings.operator import FleetSettings, WorkerSettings
+from spindleglade.tasks import spawn
+from spindleglade.workers.ledger import Ledger
+
+log = logging.getLogger("spindleglade.fleet")
+
+
+@dataclass(slots=True)
+class Booting:
+    type: MachineType
+    zone: str
+    spot: bool
+    since: timedelta
+
+
+class FleetManager:
+    def __init__(
+        self,
+        ledger: Ledger,
+        cloud: CloudClient,
+        clock: Clock,
+        token: int,
+        types: Callable[[], list[MachineType]],
+        zones: list[str],
+        settings: FleetSettings,
+        workers: WorkerSettings,
+        list_lag: timedelta,
+        priced: bool,
+        changed: Callable[[], None],
+    ) -> None:
+        self._ledger = ledger
+        self._cloud = cloud
+        self._clock = clock
+        self._token = token
+        self._types = types
+        self._zones = zones
+        self._settings = settings
+        self._idle = seconds(settings.idle_s if priced else settings.idle_unpriced_s)
+        self._silence = ledger.rules.lease + seconds(workers.silence_margin_s)
+        self._list_lag = list_lag
+        self._changed = changed
+        self._refusals = Refusals(seconds(settings.refused_s), seconds(settings.refused_most_s))
+        self._booting: dict[str, Booting] = {}
+        # Rented machines that never reported and were given up.
+        self._asked = 0
+        # Requests under way: what they may bring counts as booting until they are answered.
+        self._asking: dict[str, tuple[Rent, MachineType]] = {}
+        self._releasing: set[str] = set()
+        self._unmet: list[Unmet] = []
+        self._stopped = False
+
+    def start(self) -> None:
+        spawn(self._watch_list(), "watch list")
+        spawn(self._run(), "fleet loop")
+
+    def stop(self) -> None:
+        self._stopped = True
+
+    def demand(self, unmet: list[Unmet]) -> None:
+        """What the latest planning round found no room for."""
+        self._unmet = unmet
+
+    async def _run(self) -> None:
+        while not self._stopped:
+            await sleep(self._clock, seconds(0.5))
+            if self._stopped:
+                return
+            now = self._clock.now()
+            self._arrived()
+            self._give_back(now)
+            self._rent(now)
+
+    def _arrived(self) -> None:
+        with self._ledger.lock:
+            for name in [name for name in self._booting if name in self._ledger.machines]:
+                del self._booting[name]
+
+    # Renting.
+
+    def _offers(self, now: timedelta) -> list[Offer]:
+        offers = []
+        for machine_type in self._types():
+            for zone in machine_type.zones or self._zones:
+                for spot in (True, False):
+                    offer = Offer(machine_type, zone, spot)
+                    if self._refusals.open(offer.kind, now):
+                        offers.append(offer)
+        return offers
+
+    def _rent(self, now: timedelta) -> None:
+        if not self._unmet or len(self._asking) >= 4:
+            return
+        rooms = [
+            Room(boot.type.name, boot.zone, boot.spot, boot.type.cpus, boot.type.gpus, boot.type.memory_gb)
+            for boot in self._booting.values()
+        ]
+        for rent, kind in self._asking.values():
+            rooms += [
+                Room(rent.type, rent.zone, rent.spot, kind.cpus, kind.gpus, kind.memory_gb)
+                for _ in range(rent.count)
+            ]
+        with self._ledger.lock:
+            used: dict[str, float] = {}
+            for job in self._ledger.jobs.values():
+                used[job.spec.team] = used.get(job.spec.team, 0.0) + job.spec.cpus * len(job.placed)
+        wanted = rentals(self._unmet, rooms, self._offers(now), self._ledger.teams, used, MOST_RENTED)
+        for offer, count in wanted:
+            self._asked += 1
+            # The token is never given twice, so neither is the name, by whichever node.
+            rent = Rent(f"r-{self._token}-{self._asked}", offer.type.name, offer.zone, offer.spot, count)
+            self._asking[rent.request] = (rent, offer.type)
+            spawn(self._ask(rent, offer.type), "ask")
+
+    async def _ask(self, rent: Rent, kind: MachineType) -> None:
+        key: Kind = (rent.type, rent.zone, rent.spot)
+        try:
+            for _ in range(5):
+                try:
+                    names = await self._cloud.rent(rent)
+                except NoCapacity:
+                    self._refusals.refused(key, self._clock.now())
+                    log.info("rental refused type=%s zone=%s spot=%s reason=no capacity", *key)
+                    return
+                except Refused as error:
+                    log.info("rental refused type=%s zone=%s spot=%s reason=%s", *key, error)
+                    self._refusals.refused(key, self._clock.now())
+                    return
+                except Silent as error:
+                    # Asked again by the same name, the cloud gives the same machines.
+                    log.info("rental unanswered request=%s reason=%s", rent.request, error)
+                    if self._stopped:
+                        return
+                    continue
+                now = self._clock.now()
+                for name in names:
+                    self._booting[name] = Booting(kind, rent.zone, rent.spot, now)
+                if len(names) < rent.count:
+                    self._refusals.refused(key, now)
+                else:
+                    self._refusals.granted(key)
+                log.info("rented type=%s zone=%s spot=%s asked=%d got=%s", *key, rent.count, ",".join(names))
+                return
+        finally:
+            del self._asking[rent.request]
+
+    # Giving back.
+
+    def _give_back(self, now: timedelta) -> None:
+        names: dict[str, str] = {}
+        with self._ledger.lock:
+            for machine in self._ledger.machines.values():
+                if machine.name in self._releasing:
+                    continue
+                reason = None
+                if machine.heard is not None and now - machine.heard > self._silence:
+                    reason = "silent"
+                elif machine.condemned and not machine.placed:
+                    reason = "faulty"
+                elif any(
+                    assignment.stop == "aborted"
+                    and not assignment.seen
+                    and now - sent > self._ledger.rules.lease / 2
+                    for assignment in machine.placed.values()
+                    if (sent := machine.unsure.get((assignment.task, assignment.attempt))) is not None
+                ):
+                    # A start of an aborted job may still land there, and nothing else could take it back.
+                    reason = "unsure start of an aborted job"
+                elif (
+                    machine.idle_since is not None
+                    and not machine.placed
+                    and now - machine.idle_since > self._idle
+                ):
+                    reason = "idle"
+                if reason is not None:
+                    machine.releasing = True
+                    names[machine.name] = reason
+        for name, boot in list(self._booting.items()):
+            if now - boot.since > seconds(boot.type.boot_s * self._settings.boot_patience):
+                names[name] = "boots too long"
+                del self._booting[name]
+        if names:
+            self._release(names)
+
+    def _release(self, names: dict[str, str]) -> None:
+        self._releasing.update(names)
+        chosen = list(names)
+        for at in range(0, len(chosen), MOST_RELEASED):
+            part = {name: names[name] for name in chosen[at : at + MOST_RELEASED]}
+            spawn(self._release_part(part), "release part")
+
+    async def _release_part(self, names: dict[str, str]) -> None:
+        while not self._stopped:
+            try:
+                await self._cloud.release(list(names))
+            except (Refused, Silent) as error:
+                log.info("release delayed machines=%s reason=%s", ",".join(names), error)
+                await sleep(self._clock, seconds(0.7))
+                continue
+            for name, reason in names.items():
+                self._ledger.machine_gone(name, reason)
+                self._releasing.discard(name)
+            self._changed()
+            return
+
+    # The list.
+
+    async def _watch_list(self) -> None:
+        while not self._stopped:
+            try:
+                self._listed(await self._cloud.machines())
+            except (Refused, Silent) as error:
+                log.info("machines not listed reason=%s", error)
+            await sleep(self._clock, seconds(self._settings.list_s))
+
+    def _listed(self, listed: list[Listed]) -> None:
+        now = self._clock.now()
+        types = {machine_type.name: machine_type for machine_type in self._types()}
+        failed: dict[str, str] = {}
+        with self._ledger.lock:
+            known, gone = set(self._ledger.machines), set(self._ledger.gone)
+        for machine in listed:
+            if machine.name in self._releasing:
+                continue
+            if machine.stage == "failed" and machine.name not in gone:
+                failed[machine.name] = "failed"
+                self._booting.pop(machine.name, None)
+            elif machine.name in known or machine.name in gone or machine.name in self._booting:
+                continue
+            elif machine.type in types:
+                # Rented by a leader before us, or by a request that we gave up: it will report, or be given
+                # back for booting too long.
+                age = min(seconds(machine.age_s), now) if machine.stage == "starting" else ZERO
+                self._booting[machine.name] = Booting(
+                    types[machine.type], machine.zone, machine.spot, now - age
+                )
+                log.info("machine found machine=%s stage=%s", machine.name, machine.stage)
+        if failed:
+            self._release(failed)
--- /dev/null
+++ b/spindleglade/fleet/messages.py
@@ -0,0 +1,51 @@
+"""What the cloud and the controllers say to each other, by the published protocol."""
+
+import msgspec
+
+
+class MachineType(msgspec.Struct, frozen=True):
+    name: str
+    cpus: float = msgspec.field(name="vcpus")
+    memory_gb: float = msgspec.field(name="mem_gb")
+    price: float = msgspec.field(name="rate")
+    spot_price: float
+    boot_s: float = msgspec.field(name="ready_s")
+    cache_gb: float = msgspec.field(name="local_gb")
+    pull_gb_per_s: float
+    gpus: float = msgspec.field(name="accelerators", default=0.0)
+    zones: list[str] = msgspec.field(name="glades", default_factory=list)
+
+
+class Types(msgspec.Struct, frozen=True):
+    types: list[MachineType] = msgspec.field(name="frames")
+
+
+class Rent(msgspec.Struct, frozen=True):
+    request: str = msgspec.field(name="ask")
+    type: str = msgspec.field(name="frame")
+    zone: str = msgspec.field(name="glade")
+    spot: bool = msgspec.field(name="windfall")
+    count: int = msgspec.field(name="how_many")
+
+
+class Rented(msgspec.Struct, frozen=True):
+    machines: list[str] = msgspec.field(name="spindles")
+
+
+class Release(msgspec.Struct, frozen=True):
+    machines: list[str] = msgspec.field(name="spindles")
+
+
+class Listed(msgspec.Struct, frozen=True):
+    name: str = msgspec.field(name="ref")
+    address: str = msgspec.field(name="addr")
+    type: str = msgspec.field(name="frame")
+    zone: str = msgspec.field(name="glade")
+    spot: bool = msgspec.field(name="windfall")
+    stage: str
+    age_s: float = msgspec.field(name="held_s")
+
+
+class Page(msgspec.Struct, frozen=True):
+    machines: list[Listed] = msgspec.field(name="spindles")
+    more: bool = msgspec.field(name="has_next", default=False)
--- /dev/null
+++ b/spindleglade/leadership/election.py
@@ -0,0 +1,182 @@
+"""One leader at a time, by a key under a lease in the state service.
+
+The key's mark is what makes leadership safe: every write of a leader is conditional on it, so whatever a
+deposed leader still sends fails. The lease only decides when the others may try. The token that workers see
+is a counter raised in the very transaction that takes the key, so it never repeats and never falls.
+"""
+
+import logging
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from spindleglade.clock import Clock, sleep
+from spindleglade.store.client import (
+    Committed,
+    Condition,
+    LeaseGone,
+    Put,
+    StateClient,
+    Unavailable,
+    Unknown,
+    raw,
+)
+from spindleglade.store.replica import Replica, Unconfirmed
+from spindleglade.submissions.records import PREFIX
+from spindleglade.tasks import spawn
+
+log = logging.getLogger("spindleglade.leadership")
+
+LEADER = PREFIX + "leader"
+TOKEN = PREFIX + "token"
+
+
+class LeaderRecord(msgspec.Struct, frozen=True):
+    node: str
+    token: int
+
+
+class TokenRecord(msgspec.Struct, frozen=True):
+    token: int
+
+
+class Term(msgspec.Struct, frozen=True):
+    """A won election: the token given to workers, and the condition on every write."""
+
+    token: int
+    mark: int
+    lease: int
+
+    @property
+    def condition(self) -> Condition:
+        return Condition(LEADER, self.mark)
+
+
+class Election:
+    def __init__(
+        self,
+        node: str,
+        client: StateClient,
+        replica: Replica,
+        clock: Clock,
+        lease: timedelta,
+        won: Callable[[Term], None],
+        lost: Callable[[str], None],
+        may_campaign: Callable[[], bool] = lambda: True,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._node = node
+        self._client = client
+        self._replica = replica
+        self._clock = clock
+        self._lease = lease
+        self._won = won
+        self._lost = lost
+        self._may_campaign = may_campaign
+        self._rng = rng or random.Random()
+        self.term: Term | None = None
+        self.leader: LeaderRecord | None = None
+        self._token = 0
+        self._campaigning = False
+        # The highest token seen anywhere: in the store, from siblings, in workers' reports.
+        self.highest = 0
+        replica.listen(self.listener)
+
+    def start(self) -> None:
+        spawn(self._run(), "election")
+
+    def listener(self, key: str, value: bytes | None, mark: int) -> None:
+        if key == LEADER:
+            self.leader = None if value is None else msgspec.json.decode(value, type=LeaderRecord)
+            if self.term is not None and mark > self.term.mark:
+                self.step_down("the leader key changed")
+            if self.leader is not None:
+                self.saw_token(self.leader.token)
+            elif not self._campaigning:
+                # Without this the vacancy would last until the next turn of the loop.
+                spawn(self._campaign(), "campaign")
+        elif key == TOKEN and value is not None:
+            self._token = msgspec.json.decode(value, type=TokenRecord).token
+            self.saw_token(self._token)
+
+    def saw_token(self, token: int) -> None:
+        self.highest = max(self.highest, token)
+        if self.term is not None and token > self.term.token:
+            self.step_down(f"token {token} seen")
+
+    def step_down(self, reason: str) -> None:
+        if self.term is None:
+            return
+        log.info("no longer leader token=%d reason=%s", self.term.token, reason)
+        self.term = None
+        self._lost(reason)
+
+    async def resign(self, reason: str) -> None:
+        """Gives the lease back, so that another need not wait for it to end."""
+        term = self.term
+        if term is None:
+            return
+        self.step_down(reason)
+        try:
+            await self._client.drop(term.lease)
+        except (Unavailable, Unknown) as error:
+            log.info("lease not given back reason=%s", error)
+
+    async def _run(self) -> None:
+        while True:
+            if self.term is not None:
+                await self._renew(self.term)
+                await sleep(self._clock, self._lease / 3)
+            else:
+                await self._campaign()
+                if self.term is None:
+                    await sleep(self._clock, self._lease / 6)
+
+    async def _renew(self, term: Term) -> None:
+        try:
+            await self._client.touch(term.lease)
+        except LeaseGone:
+            if self.term is term:
+                self.step_down("lease ended")
+        except (Unavailable, Unknown) as error:
+            # Not a reason to step down: in an outage of the store nobody else can lead either, and where
+            # only this node is refused its writes fail by their condition.
+            log.info("lease not renewed reason=%s", error)
+
+    def _vacant(self) -> bool:
+        # A key under our own name that we do not hold is left from this node's previous life.
+        return self._replica.loaded and (self.leader is None or self.leader.node == self._node)
+
+    async def _campaign(self) -> None:
+        if self._campaigning or self.term is not None or not self._vacant() or not self._may_campaign():
+            return
+        self._campaigning = True
+        try:
+            # Spread the candidates, so that one usually wins before the others ask.
+            await sleep(self._clock, timedelta(seconds=self._rng.uniform(0, 0.05)))
+            await self._replica.confirm()
+            if not self._vacant():
+                return
+            lease = await self._client.grant(self._lease)
+            token = max(self._token, self.highest) + 1
+            marks = self._replica.marks
+            result = await self._client.txn(
+                [Condition(LEADER, marks.get(LEADER, 0)), Condition(TOKEN, marks.get(TOKEN, 0))],
+                [
+                    Put(LEADER, raw(LeaderRecord(self._node, token)), lease),
+                    Put(TOKEN, raw(TokenRecord(token))),
+                ],
+                urgent=True,
+            )
+            if isinstance(result, Committed):
+                self.term = Term(token, result.turn, lease)
+                log.info("leader token=%d", token)
+                self._won(self.term)
+            else:
+                await self._client.drop(lease)
+        except (Unavailable, Unknown, Unconfirmed, LeaseGone) as error:
+            log.info("not elected reason=%s", error)
+        finally:
+            self._campaigning = False
--- /dev/null
+++ b/spindleglade/leadership/links.py
@@ -0,0 +1,257 @@
+"""Links between sibling nodes: msgpack messages behind a length, one connection dialled to each sibling.
+
+A node asks over the connection it dialled and is answered there. A link that says nothing for a while is cut
+and dialled again: a connection across a cut hangs without any error.
+"""
+
+import logging
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+from twisted.protocols.basic import Int32StringReceiver
+
+from spindleglade.clock import Clock, sleep
+from spindleglade.settings.platform import Sibling, split_address
+from spindleglade.tasks import spawn
+
+log = logging.getLogger("spindleglade.leadership")
+
+
+class Ping(msgspec.Struct, tag="ping", array_like=True):
+    """Says who is there, the highest token it knows and whether it leads; sent and answered regularly."""
+
+    node: str
+    token: int
+    leads: bool
+    # Milliseconds since the sender's replica was last proven current; None before the first time.
+    unconfirmed_ms: int | None
+
+
+class Relay(msgspec.Struct, tag="relay", array_like=True):
+    """A worker's report, as it came, for the leader."""
+
+    number: int
+    report: bytes
+
+
+class Relayed(msgspec.Struct, tag="relayed", array_like=True):
+    """The leader's answer to it, as the worker shall get it; nothing if this node does not lead."""
+
+    number: int
+    answer: bytes | None
+
+
+class Forward(msgspec.Struct, tag="forward", array_like=True):
+    """A user's request that the sender cannot serve, because it cannot reach the store."""
+
+    number: int
+    method: str
+    path: str
+    body: bytes
+
+
+class Forwarded(msgspec.Struct, tag="forwarded", array_like=True):
+    number: int
+    status: int
+    retry_after: int | None
+    body: bytes
+
+
+Message = Ping | Relay | Relayed | Forward | Forwarded
+_decoder = msgspec.msgpack.Decoder(Message)
+_encode = msgspec.msgpack.encode
+
+
+def decode_message(data: bytes) -> Message:
+    return _decoder.decode(data)
+
+
+class LinkDown(Exception):
+    """The sibling cannot be asked, or did not answer in time."""
+
+
+class _Connection(Int32StringReceiver):
+    MAX_LENGTH = 1 << 20
+
+    def __init__(self, received: Callable[["_Connection", Message], None], lost: Callable[[], None]) -> None:
+        self._received = received
+        self._lost = lost
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+
+    def stringReceived(self, string: bytes) -> None:
+        try:
+            message = decode_message(string)
+        except msgspec.DecodeError as error:
+            log.warning("sibling message dropped reason=%s", error)
+            return
+        self._received(self, message)
+
+    def lengthLimitExceeded(self, length: int) -> None:
+        log.warning("sibling message dropped reason=%d bytes long", length)
+        self.transport.abortConnection()
+
+    def send(self, message: Message) -> None:
+        if self.connected:
+            self.sendString(_encode(message))
+
+    def connectionLost(self, reason: Any = None) -> None:
+        self._lost()
+
+
+class Link:
+    """The connection to one sibling."""
+
+    def __init__(
+        self, reactor: Any, clock: Clock, sibling: Sibling, ping: timedelta, hello: Callable[[], Ping]
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._ping = ping
+        self._hello = hello
+        self._connection: _Connection | None = None
+        self._waiting: dict[int, Deferred[Any]] = {}
+        self._number = 0
+        self.sibling = sibling
+        self.heard: timedelta | None = None
+        self.state: Ping | None = None
+        self.saw: Callable[[Ping], None] = lambda ping: None
+
+    @property
+    def up(self) -> bool:
+        return (
+            self._connection is not None
+            and self.heard is not None
+            and self._clock.now() - self.heard < self._ping * 4
+        )
+
+    def start(self) -> None:
+        spawn(self._run(), "link")
+
+    async def _run(self) -> None:
+        host, port = split_address(self.sibling.address)
+        while True:
+            try:
+                await self._connect(host, port)
+            except Exception as error:
+                log.debug("no link sibling=%s reason=%s", self.sibling.name, error)
+                await sleep(self._clock, self._ping)
+                continue
+            self.heard = self._clock.now()
+            while self._connection is not None:
+                self._connection.send(self._hello())
+                await sleep(self._clock, self._ping)
+                if self._connection is not None and not self.up:
+                    self._connection.transport.abortConnection()
+                    self._down()
+
+    async def _connect(self, host: str, port: int) -> None:
+        made: list[_Connection] = []
+
+        def lost() -> None:
+            if made and self._connection is made[0]:
+                self._down()
+
+        factory = Factory.forProtocol(lambda: _Connection(self._received, lost))
+        factory.noisy = False
+        timeout = max(1.0, self._ping.total_seconds() * 2)
+        connection = await TCP4ClientEndpoint(self._reactor, host, port, timeout=timeout).connect(factory)
+        made.append(connection)
+        self._connection = connection
+        log.info("link up sibling=%s", self.sibling.name)
+
+    def _down(self) -> None:
+        log.info("link down sibling=%s", self.sibling.name)
+        self._connection = None
+        waiting, self._waiting = self._waiting, {}
+        for waiter in waiting.values():
+            waiter.errback(LinkDown(self.sibling.name))
+
+    def _received(self, connection: _Connection, message: Message) -> None:
+        self.heard = self._clock.now()
+        if isinstance(message, Ping):
+            self.state = message
+            self.saw(message)
+        elif isinstance(message, (Relayed, Forwarded)):
+            waiter = self._waiting.pop(message.number, None)
+            if waiter is not None:
+                waiter.callback(message)
+
+    async def ask(self, make: Callable[[int], Message], timeout: timedelta) -> Any:
+        if not self.up:
+            raise LinkDown(self.sibling.name)
+        assert self._connection is not None
+        self._number += 1
+        number = self._number
+        waiter: Deferred[Any] = Deferred()
+        self._waiting[number] = waiter
+
+        def late() -> None:
+            gone = self._waiting.pop(number, None)
+            if gone is not None:
+                gone.errback(LinkDown(f"{self.sibling.name} did not answer"))
+
+        timer = self._clock.later(timeout, late)
+        self._connection.send(make(number))
+        try:
+            return await waiter
+        finally:
+            if timer.active():
+                timer.cancel()
+
+
+class Links:
+    """All siblings, and the port at which they reach this node."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        siblings: list[Sibling],
+        ping: timedelta,
+        hello: Callable[[], Ping],
+        relay: Callable[[bytes], Awaitable[bytes | None]],
+        forward: Callable[[str, str, bytes], Awaitable[Any]],
+        saw: Callable[[Ping], None],
+    ) -> None:
+        self._hello = hello
+        self._relay = relay
+        self._forward = forward
+        self._saw = saw
+        self.links = [Link(reactor, clock, sibling, ping, hello) for sibling in siblings]
+        for link in self.links:
+            link.saw = saw
+
+    def start(self) -> None:
+        for link in self.links:
+            link.start()
+
+    def to(self, node: str) -> Link | None:
+        return next((link for link in self.links if link.sibling.name == node and link.up), None)
+
+    def factory(self) -> Factory:
+        factory = Factory.forProtocol(lambda: _Connection(self._asked, lambda: None))
+        factory.noisy = False
+        return factory
+
+    def _asked(self, connection: _Connection, message: Message) -> None:
+        if isinstance(message, Ping):
+            self._saw(message)
+            connection.send(self._hello())
+        elif isinstance(message, Relay):
+            spawn(self._answer_relay(connection, message), "answer relay")
+        elif isinstance(message, Forward):
+            spawn(self._answer_forward(connection, message), "answer forward")
+
+    async def _answer_relay(self, connection: _Connection, message: Relay) -> None:
+        connection.send(Relayed(message.number, await self._relay(message.report)))
+
+    async def _answer_forward(self, connection: _Connection, message: Forward) -> None:
+        answer = await self._forward(message.method, message.path, message.body)
+        connection.send(Forwarded(message.number, answer.status, answer.retry_after, answer.body))
--- /dev/null
+++ b/spindleglade/reign.py
@@ -0,0 +1,224 @@
+"""All that a node does only while it leads: the ledger and everything that acts on it."""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from twisted.python.threadpool import ThreadPool
+
+from spindleglade.backfill.distributions import Bins, History, Predictor
+from spindleglade.backfill.planner import Plan, Planner
+from spindleglade.backfill.rounds import Rounds
+from spindleglade.clock import Clock, seconds, sleep
+from spindleglade.fleet.client import CloudClient
+from spindleglade.fleet.manager import FleetManager
+from spindleglade.fleet.types import TypeBook
+from spindleglade.leadership.election import Term
+from spindleglade.settings import OperatorSettings, Platform
+from spindleglade.store.client import Put, StateClient, TooOld, Unavailable, Unknown, raw
+from spindleglade.submissions.records import HISTORY, JOBS, PREFIX, TASKS, Chunk, JobRecord, split_chunk_key
+from spindleglade.tasks import spawn
+from spindleglade.web import HttpClient
+from spindleglade.workers.dispatch import Dispatcher
+from spindleglade.workers.ledger import Deposed, Ledger, Rules
+from spindleglade.workers.messages import Report, ReportAnswer
+from spindleglade.workers.recorder import Recorder
+
+log = logging.getLogger("spindleglade.leadership")
+
+
+class Reign:
+    def __init__(
+        self,
+        term: Term,
+        platform: Platform,
+        settings: OperatorSettings,
+        clock: Clock,
+        reactor: Any,
+        pool: ThreadPool,
+        http: HttpClient,
+        client: StateClient,
+        cloud: CloudClient,
+        types: TypeBook,
+        deposed: Callable[[str], None],
+    ) -> None:
+        self.term = term
+        self._platform = platform
+        self._settings = settings
+        self._clock = clock
+        self._reactor = reactor
+        self._pool = pool
+        self._http = http
+        self._client = client
+        self._cloud = cloud
+        self._types = types
+        self._deposed = deposed
+        self._ended = False
+        # Everything has been read: from here on it orders.
+        self.active = False
+        # Changes that came while everything was being read.
+        self._early: list[tuple[JobRecord, int]] | None = []
+        bins = Bins(seconds(settings.backfill.first_bin_s), settings.backfill.bin_factor)
+        self.predictor = Predictor(
+            bins,
+            settings.backfill.history_runs,
+            settings.backfill.history_kept,
+            settings.backfill.predictor == "distributions",
+        )
+
+    def start(self) -> None:
+        spawn(self._begin(), "taking over", self._deposed)
+
+    def end(self) -> None:
+        self._ended = True
+        if self.active:
+            self.active = False
+            self._rounds.stop()
+            self._recorder.stop()
+            self._dispatcher.stop()
+            self._fleet.stop()
+
+    async def _begin(self) -> None:
+        while not self._ended:
+            try:
+                listing = await self._client.read_all(PREFIX)
+                break
+            except (Unavailable, Unknown, TooOld) as error:
+                log.info("records not read reason=%s", error)
+                await sleep(self._clock, seconds(0.3))
+        if self._ended:
+            return
+        now = self._clock.now()
+        workers = self._platform.params.workers
+        own = self._settings.workers
+        rules = Rules(
+            workers.lease,
+            workers.report,
+            own.faulty_jobs,
+            seconds(own.backoff_s),
+            seconds(own.backoff_most_s),
+        )
+        ledger = Ledger(
+            self.term.token, rules, self._platform.teams, self._types.kinds(), self.predictor, now
+        )
+        self.ledger = ledger
+        marks: dict[str, int] = {}
+        chunks = []
+        for entry in listing.entries:
+            if entry.key.startswith(JOBS):
+                ledger.take_job(msgspec.json.decode(entry.value, type=JobRecord), entry.mark)
+            elif entry.key.startswith(TASKS):
+                marks[entry.key] = entry.mark
+                chunks.append((split_chunk_key(entry.key), msgspec.json.decode(entry.value, type=Chunk)))
+            elif entry.key.startswith(HISTORY):
+                team = entry.key[len(HISTORY) :]
+                self.predictor.load(team, msgspec.json.decode(entry.value, type=History))
+        for (job, number), chunk in chunks:
+            ledger.load_chunk(job, number, chunk, now)
+        assert self._early is not None
+        for record, mark in self._early:
+            ledger.take_job(record, mark)
+        self._early = None
+        ledger.loaded()
+        self._recorder = Recorder(
+            ledger, self._client, self._clock, self.term, marks, self._committed, self._deposed
+        )
+        self._dispatcher = Dispatcher(
+            ledger, self._http, self._clock, seconds(own.order_timeout_s), self._deposed, self._changed
+        )
+        self._fleet = FleetManager(
+            ledger,
+            self._cloud,
+            self._clock,
+            self.term.token,
+            lambda: self._types.types,
+            self._platform.params.zones,
+            self._settings.fleet,
+            own,
+            self._platform.params.cloud.list_lag,
+            self._platform.wants("price", "useful"),
+            self._changed,
+        )
+        self._rounds = Rounds(
+            ledger,
+            Planner(self._settings.backfill.tau),
+            self._clock,
+            self._reactor,
+            self._pool,
+            seconds(self._settings.backfill.round_s),
+            self._planned,
+            self._deposed,
+        )
+        self.active = True
+        log.info(
+            "took over token=%d jobs=%d placed=%d keys=%d",
+            self.term.token,
+            len(ledger.jobs),
+            sum(len(job.placed) for job in ledger.jobs.values()),
+            len(listing.entries),
+        )
+        self._recorder.start()
+        self._rounds.start()
+        self._fleet.start()
+        spawn(self._keep(), "leader's upkeep", self._deposed)
+
+    def job_changed(self, record: JobRecord, mark: int) -> None:
+        if self._early is not None:
+            self._early.append((record, mark))
+            return
+        self.ledger.take_job(record, mark)
+        self._changed()
+
+    def report(self, report: Report) -> ReportAnswer | None:
+        try:
+            orders = self.ledger.report(report, self._clock.now(), asked=True)
+        except Deposed as error:
+            self._deposed(str(error))
+            return None
+        self._changed()
+        return None if orders is None else ReportAnswer(self.term.token, orders)
+
+    def _changed(self) -> None:
+        if self.active:
+            self._recorder.wake()
+            self._rounds.wake()
+            self._dispatcher.send()
+
+    def _committed(self) -> None:
+        if self.active:
+            self._dispatcher.send()
+
+    def _planned(self, plan: Plan, placed: int) -> None:
+        self._fleet.demand(plan.unmet)
+        if placed:
+            self._recorder.wake()
+        if plan.stops:
+            self._dispatcher.send()
+
+    async def _keep(self) -> None:
+        """Regular work: rounds even if nothing happens, and the histories on record."""
+        at = self._clock.now()
+        while self.active:
+            await sleep(self._clock, seconds(1))
+            if not self.active:
+                return
+            self.ledger.kinds = self._types.kinds()
+            self._changed()
+            if self._clock.now() - at >= timedelta(seconds=10):
+                at = self._clock.now()
+                await self._record_history()
+
+    async def _record_history(self) -> None:
+        with self.ledger.lock:
+            teams, self.ledger.learned = self.ledger.learned, set()
+            writes = [Put(HISTORY + team, raw(self.predictor.export(team))) for team in sorted(teams)]
+        most = self._client.limits.txn_ops
+        for at in range(0, len(writes), most):
+            try:
+                await self._client.txn([self.term.condition], writes[at : at + most])
+            except (Unavailable, Unknown) as error:
+                log.info("histories not recorded reason=%s", error)
+                self.ledger.learned |= teams
+                return
--- /dev/null
+++ b/spindleglade/settings/platform.py
@@ -0,0 +1,151 @@
+"""The file the platform hands over. Fields we do not know are ignored, those we need are checked."""
+
+import re
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from spindleglade.settings.problem import SettingsError
+
+Positive = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+
+
+class Sibling(msgspec.Struct, frozen=True):
+    name: Name = msgspec.field(name="node")
+    zone: str
+    address: Address = msgspec.field(name="endpoint")
+
+
+class External(msgspec.Struct, frozen=True):
+    cloud: Address
+    state: Address
+
+
+class Team(msgspec.Struct, frozen=True):
+    name: Name
+    cpus: Amount = 0.0
+    cpus_max: Amount = 0.0
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True):
+    kind: str
+    job_class: str | None = msgspec.field(name="class", default=None)
+
+
+class WorkerTimes(msgspec.Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+
+    @property
+    def report(self) -> timedelta:
+        return timedelta(seconds=self.report_s)
+
+    @property
+    def lease(self) -> timedelta:
+        return timedelta(seconds=self.lease_s)
+
+    @property
+    def cancel(self) -> timedelta:
+        return timedelta(seconds=self.cancel_s)
+
+
+class StateLimits(msgspec.Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, msgspec.Meta(ge=3)]
+
+
+class CloudLimits(msgspec.Struct, frozen=True):
+    rps: Positive
+    list_lag_s: Amount = 0.0
+
+    @property
+    def list_lag(self) -> timedelta:
+        return timedelta(seconds=self.list_lag_s)
+
+
+class Params(msgspec.Struct, frozen=True):
+    teams: list[Team]
+    workers: WorkerTimes
+    state: StateLimits
+    cloud: CloudLimits
+    zones: list[str] = []
+    objectives: list[Objective] = []
+
+
+class Platform(msgspec.Struct, frozen=True):
+    name: Name = msgspec.field(name="node")
+    zone: str
+    client_listen: Address
+    peer_listen: Address = msgspec.field(name="peer_bind")
+    siblings: list[Sibling]
+    external: External
+    params: Params
+
+    @property
+    def nodes(self) -> int:
+        return len(self.siblings) + 1
+
+    @property
+    def teams(self) -> dict[str, Team]:
+        return {team.name: team for team in self.params.teams}
+
+    def wants(self, *kinds: str) -> bool:
+        """Whether the deployment states an aim of one of these kinds."""
+        return any(objective.kind in kinds for objective in self.params.objectives)
+
+
+# msgspec says where a value is wrong as `$.params.teams[...].cpus`; operators read `params.teams[...].cpus`.
+_WHERE = re.compile(r"^(?P<reason>.*?)(?: - at `\$\.?(?P<field>[^`]*)`)?$", re.DOTALL)
+_MISSING = re.compile(r"^Object missing required field `(?P<name>[^`]*)`$")
+
+
+def explain(error: Exception) -> tuple[str, str]:
+    """Field and reason out of a decoder's message."""
+    match = _WHERE.match(str(error).replace("\n", " "))
+    assert match
+    reason, field = match["reason"], match["field"] or ""
+    missing = _MISSING.match(reason)
+    if missing:
+        return ".".join(part for part in (field, missing["name"]) if part), "is missing"
+    return field or "(whole file)", reason
+
+
+def check_platform(file: str, settings: Platform) -> None:
+    names = [settings.name] + [sibling.name for sibling in settings.siblings]
+    if len(set(names)) != len(names):
+        raise SettingsError(file, "siblings", "two nodes have the same name")
+    teams = [team.name for team in settings.params.teams]
+    if len(set(teams)) != len(teams):
+        raise SettingsError(file, "params.teams", "two teams have the same name")
+    for where, address in (("client_listen", settings.client_listen), ("peer_bind", settings.peer_listen)):
+        host, port = split_address(address)
+        if port > 65535 or any(int(part) > 255 for part in host.split(".")):
+            raise SettingsError(file, where, f"not an address: {address}")
+
+
+def split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def load_platform(file: str) -> Platform:
+    try:
+        raw = Path(file).read_bytes()
+    except OSError as error:
+        raise SettingsError(file, "(whole file)", error.strerror or "cannot be read") from None
+    try:
+        settings = msgspec.json.decode(raw, type=Platform)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(file, *explain(error)) from None
+    check_platform(file, settings)
+    return settings
--- /dev/null
+++ b/spindleglade/store/__init__.py
@@ -0,0 +1,1 @@
+"""The state service: client, rate budget and each node's replica."""
--- /dev/null
+++ b/spindleglade/store/budget.py
@@ -0,0 +1,35 @@
+"""Each node's share of the state service's two rates.
+
+The limits hold for all nodes together. A node cannot see what the others use, so each keeps to a fixed
+share; urgent requests (leases, submissions, aborts, proofs for users) may overdraw it, since the burst the
+service allows covers them, and ordinary ones then wait the longer.
+"""
+
+from datetime import timedelta
+
+from spindleglade.clock import Clock
+
+
+class Budget:
+    def __init__(self, clock: Clock, rate: float, burst: float) -> None:
+        self._clock = clock
+        self._rate = rate
+        self._burst = burst
+        self._level = burst
+        self._at = clock.now()
+
+    def _refill(self) -> None:
+        now = self._clock.now()
+        self._level = min(self._burst, self._level + (now - self._at).total_seconds() * self._rate)
+        self._at = now
+
+    def spend(self, amount: float = 1.0) -> None:
+        """Urgent: taken at once, down to one whole burst in debt."""
+        self._refill()
+        self._level = max(-self._burst, self._level - amount)
+
+    def reserve(self, amount: float = 1.0) -> timedelta:
+        """Ordinary: taken now, to be used only after the delay returned."""
+        self._refill()
+        self._level -= amount
+        return timedelta(seconds=max(0.0, -self._level / self._rate))
--- /dev/null
+++ b/spindleglade/store/replica.py
@@ -0,0 +1,150 @@
+"""A node's copy of the service's keys, kept by watch.
+
+The copy is only ever behind the store, never wrong. `confirm` proves it current: it waits for a catch-up
+(a watch that does not wait) begun after the call, one shared by all who wait. Changes arrive both from the
+long watch and from catch-ups; each answer holds every change after a revision the copy already had, so
+taking over only what is newer than the copy's own revision neither misses nor repeats one.
+"""
+
+import logging
+from collections.abc import Callable
+from contextlib import suppress
+from datetime import timedelta
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from spindleglade.clock import Clock, sleep
+from spindleglade.store.client import StateClient, TooOld, Unavailable, Unknown
+from spindleglade.tasks import spawn
+
+log = logging.getLogger("spindleglade.store")
+
+# key, value (None: removed), mark
+Listener = Callable[[str, bytes | None, int], None]
+
+
+class Unconfirmed(Exception):
+    """The replica could not be proven current."""
+
+
+class Replica:
+    def __init__(
+        self, client: StateClient, clock: Clock, prefix: str, wait: timedelta, every: timedelta
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._prefix = prefix
+        self._wait = wait
+        self._every = every
+        self._listeners: list[Listener] = []
+        # Deferreds of those waiting for the next catch-up, and of those waiting for the one under way.
+        self._next: list[Deferred[None]] = []
+        self._catching = False
+        self.turn = 0
+        self.loaded = False
+        # The keys and their marks; values live with the slices that listen.
+        self.marks: dict[str, int] = {}
+        # When the latest successful proof was asked for; None before the first.
+        self.confirmed: timedelta | None = None
+
+    def listen(self, listener: Listener) -> None:
+        self._listeners.append(listener)
+
+    def start(self) -> None:
+        spawn(self._follow(), "watch")
+        spawn(self._prove(), "proof loop")
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                if not self.loaded:
+                    await self._load()
+                turn, changes = await self._client.watch(self._prefix, self.turn, self._wait)
+                self.apply(turn, changes)
+            except TooOld:
+                self.loaded = False
+            except (Unavailable, Unknown) as error:
+                log.debug("watch interrupted reason=%s", error)
+                await sleep(self._clock, timedelta(seconds=0.5))
+
+    async def _load(self) -> None:
+        asked = self._clock.now()
+        listing = await self._client.read_all(self._prefix)
+        present = {entry.key for entry in listing.entries}
+        for entry in listing.entries:
+            if entry.mark > self.marks.get(entry.key, 0):
+                self._take(entry.key, bytes(entry.value), entry.mark)
+        gone = [key for key, mark in self.marks.items() if key not in present and mark <= listing.turn]
+        for key in gone:
+            self._take(key, None, listing.turn)
+        self.turn = max(self.turn, listing.turn)
+        self.loaded = True
+        self._proven(asked)
+        log.info("replica loaded keys=%d turn=%d", len(present), self.turn)
+
+    def apply(self, turn: int, changes: list) -> None:
+        for change in changes:
+            if change.mark <= self.turn:
+                continue
+            if change.put is not None:
+                # A listing may already have shown this key newer than the revision followed from.
+                if change.mark > self.marks.get(change.put, 0):
+                    self._take(change.put, bytes(change.value), change.mark)
+            elif change.removed is not None and change.mark > self.marks.get(change.removed, 0):
+                self._take(change.removed, None, change.mark)
+        self.turn = max(self.turn, turn)
+
+    def _take(self, key: str, value: bytes | None, mark: int) -> None:
+        if value is None:
+            self.marks.pop(key, None)
+        else:
+            self.marks[key] = mark
+        for listener in self._listeners:
+            try:
+                listener(key, value, mark)
+            except (msgspec.DecodeError, ValueError):
+                log.exception("value not understood key=%s", key)
+
+    async def _prove(self) -> None:
+        while True:
+            await sleep(self._clock, self._every)
+            if self._clock.now() - (self.confirmed or timedelta(0)) >= self._every:
+                with suppress(Unconfirmed):
+                    await self.confirm()
+
+    def _proven(self, asked: timedelta) -> None:
+        if self.confirmed is None or asked > self.confirmed:
+            self.confirmed = asked
+
+    def confirm(self) -> Deferred[None]:
+        """Fires once the replica is at least as new as the store was at this call; fails with Unconfirmed."""
+        waiter: Deferred[None] = Deferred()
+        self._next.append(waiter)
+        if not self._catching:
+            spawn(self._catch_up(), "catch-up")
+        return waiter
+
+    async def _catch_up(self) -> None:
+        self._catching = True
+        while self._next:
+            served, self._next = self._next, []
+            asked = self._clock.now()
+            reason = None
+            try:
+                if not self.loaded:
+                    raise Unavailable("replica not loaded yet")
+                turn, changes = await self._client.watch(self._prefix, self.turn, timedelta(0))
+                self.apply(turn, changes)
+                self._proven(asked)
+            except TooOld:
+                self.loaded = False
+                reason = "replica too old"
+            except (Unavailable, Unknown) as error:
+                reason = str(error)
+            for waiter in served:
+                if reason is None:
+                    waiter.callback(None)
+                else:
+                    waiter.errback(Unconfirmed(reason))
+        self._catching = False
--- /dev/null
+++ b/spindleglade/submissions/__init__.py
@@ -0,0 +1,1 @@
+"""Users: submissions, questions and aborts, and the job records behind them."""
--- /dev/null
+++ b/spindleglade/submissions/api.py
@@ -0,0 +1,163 @@
+"""The interface to users: POST /submissions, GET /submissions/{id}, its abort, and /ready.
+
+Two promises decide this file. A job is called accepted, done or aborted only once the store holds it so; and
+no answer is older than what any node has said before, which is why a stage that can still change waits for
+the replica to be proven current by a catch-up begun after the question came.
+"""
+
+import logging
+import re
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from spindleglade.settings.platform import Team
+from spindleglade.store.client import Committed, Condition, Put, StateClient, Unavailable, Unknown, raw
+from spindleglade.store.replica import Replica, Unconfirmed
+from spindleglade.submissions.messages import (
+    Impossible,
+    JobAnswer,
+    MachineShape,
+    StateAnswer,
+    check_possible,
+    decode_submission,
+)
+from spindleglade.submissions.records import JobRecord, JobViews, chunk_size, job_key
+from spindleglade.web import BODY_LIMIT, Answer, encode_json
+
+log = logging.getLogger("spindleglade.submissions")
+
+_PATH = re.compile(r"\A/submissions/([^/]+)(/abort)?\Z")
+_ID = re.compile(r"\Ajob-[0-9]{1,60}\Z")
+
+# How soon to come back: a store that refuses or is silent is tried again each second.
+LATER = Answer(503, b'{"error":"try again later"}', 1)
+
+Forward = Callable[[str, str, bytes], Awaitable[Answer | None]]
+
+
+def _error(status: int, reason: str) -> Answer:
+    return Answer(status, encode_json({"error": reason}))
+
+
+class UserApi:
+    def __init__(
+        self,
+        client: StateClient,
+        replica: Replica,
+        views: JobViews,
+        teams: dict[str, Team],
+        shapes: Callable[[], list[MachineShape] | None],
+        forward: Forward,
+    ) -> None:
+        self._client = client
+        self._replica = replica
+        self._views = views
+        self._teams = teams
+        self._shapes = shapes
+        self._forward = forward
+        self._chunk = chunk_size(client.limits.value_kb)
+
+    async def handle(self, method: str, path: str, body: bytes, may_forward: bool = True) -> Answer:
+        """`may_forward` is false for a request that came from a sibling: it is passed on only once."""
+        if path == "/ready":
+            return await self._ready() if method in ("GET", "HEAD") else _error(405, "use GET")
+        if path == "/submissions":
+            if method != "POST":
+                return _error(405, "use POST")
+            if len(body) > BODY_LIMIT:
+                return _error(400, "body over 64 KiB")
+            answer = await self._submit(body)
+        else:
+            match = _PATH.match(path)
+            if match is None:
+                return _error(404, "no such path")
+            job, abort = match.groups()
+            if method != ("POST" if abort else "GET"):
+                return _error(405, "use POST" if abort else "use GET")
+            if not _ID.match(job):
+                return _error(404, "no such job")
+            answer = await (self._abort(job) if abort else self._state(job))
+        if answer is LATER and may_forward:
+            return await self._forward(method, path, body) or LATER
+        return answer
+
+    async def _ready(self) -> Answer:
+        # Ready means the process serves, even if it must answer 503: in an outage that all nodes share, nodes
+        # that called themselves unready would lose their users' connections for nothing.
+        return Answer(200, b"{}")
+
+    async def _submit(self, body: bytes) -> Answer:
+        try:
+            job = decode_submission(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return _error(400, str(error))
+        if job.id in self._views.jobs:
+            return await self._known(job.id)
+        shapes = self._shapes()
+        if shapes is None:
+            return LATER
+        try:
+            check_possible(job, self._teams, shapes)
+        except Impossible as error:
+            log.info("submission refused job=%s reason=%s", job.id, error)
+            return _error(422, str(error))
+        record = JobRecord("open", job, self._chunk)
+        key = job_key(job.id)
+        try:
+            result = await self._client.txn([Condition(key, 0)], [Put(key, raw(record))], urgent=True)
+        except (Unavailable, Unknown) as error:
+            log.info("submission not taken job=%s reason=%s", job.id, error)
+            return LATER
+        if not isinstance(result, Committed):
+            return await self._known(job.id)
+        log.info("accepted job=%s team=%s class=%s tasks=%d", job.id, job.team, job.job_class, job.tasks)
+        return Answer(201, encode_json(JobAnswer(job.id, "pending")))
+
+    async def _known(self, job: str) -> Answer:
+        answer = await self._state(job)
+        if answer.status == 200:
+            state = msgspec.json.decode(answer.body, type=StateAnswer)
+            return Answer(200, encode_json(JobAnswer(job, state.stage)))
+        # The store holds the job, so a 404 here would be a replica not yet there.
+        return LATER
+
+    async def _state(self, job: str) -> Answer:
+        view = self._views.jobs.get(job)
+        if view is None or view.record.stage == "open":
+            try:
+                await self._replica.confirm()
+            except Unconfirmed:
+                return LATER
+            view = self._views.jobs.get(job)
+        if view is None:
+            return _error(404, "no such job")
+        running = sum(view.running.values())
+        return Answer(200, encode_json(StateAnswer(job, view.stage, view.done_count, running)))
+
+    async def _abort(self, job: str) -> Answer:
+        for _ in range(4):
+            view = self._views.jobs.get(job)
+            if view is None or view.record.stage == "open":
+                try:
+                    await self._replica.confirm()
+                except Unconfirmed:
+                    return LATER
+                view = self._views.jobs.get(job)
+            if view is None:
+                return _error(404, "no such job")
+            record = view.record
+            if record.stage != "open":
+                return Answer(200, encode_json(JobAnswer(job, record.stage)))
+            key = job_key(job)
+            aborted = JobRecord("aborted", record.spec, record.chunk)
+            condition = Condition(key, self._replica.marks.get(key, 0))
+            try:
+                result = await self._client.txn([condition], [Put(key, raw(aborted))], urgent=True)
+            except (Unavailable, Unknown) as error:
+                log.info("abort not taken job=%s reason=%s", job, error)
+                return LATER
+            if isinstance(result, Committed):
+                log.info("aborted job=%s", job)
+                return Answer(200, encode_json(JobAnswer(job, "aborted")))
+        return LATER
--- /dev/null
+++ b/spindleglade/submissions/messages.py
@@ -0,0 +1,90 @@
+"""What users send and get. Wire names are turned into the field's usual terms here and nowhere else."""
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from spindleglade.settings.platform import Team
+
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=500)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Positive = Annotated[float, msgspec.Meta(gt=0, le=1e9)]
+JobId = Annotated[str, msgspec.Meta(pattern=r"\Ajob-[0-9]{1,60}\Z")]
+
+Priority = Literal["critical", "high", "normal", "best_effort"]
+RANK: dict[str, int] = {"critical": 3, "high": 2, "normal": 1, "best_effort": 0}
+MOST_TASKS = 100_000
+
+
+class Submission(msgspec.Struct, frozen=True):
+    id: JobId = msgspec.field(name="ref")
+    job_class: Text = msgspec.field(name="bobbin")
+    team: Text = msgspec.field(name="crew")
+    kind: Literal["array"] = msgspec.field(name="weave")
+    priority: Priority = msgspec.field(name="urgency")
+    tasks: Annotated[int, msgspec.Meta(ge=1, le=MOST_TASKS)] = msgspec.field(name="threads")
+    cpus: Positive = msgspec.field(name="vcpus")
+    gpus: Amount = msgspec.field(name="accelerators")
+    memory_gb: Amount = msgspec.field(name="mem_gb")
+    image: Text = msgspec.field(name="pattern")
+    image_gb: Amount = msgspec.field(name="size_gb")
+    one_zone: bool = msgspec.field(name="together")
+    spread: bool = msgspec.field(name="scatter")
+    spot: bool = msgspec.field(name="windfall")
+    estimate_s: Amount = msgspec.field(name="reckon_s")
+    checkpoint_s: Amount = msgspec.field(name="knot_s")
+    save_s: Amount = msgspec.field(name="tie_s")
+    types: Annotated[list[Text], msgspec.Meta(max_length=50)] | None = msgspec.field(
+        name="frames", default=None
+    )
+    zone: Text | None = msgspec.field(name="glade", default=None)
+    deadline_s: Amount | None = msgspec.field(name="due_s", default=None)
+
+
+class JobAnswer(msgspec.Struct):
+    id: str = msgspec.field(name="ref")
+    stage: str
+
+
+class StateAnswer(msgspec.Struct):
+    id: str = msgspec.field(name="ref")
+    stage: str
+    done: int
+    running: int
+
+
+class MachineShape(msgspec.Struct, frozen=True):
+    """What validation needs to know of a machine type."""
+
+    name: str
+    cpus: float
+    gpus: float
+    memory_gb: float
+    zones: tuple[str, ...]
+
+
+class Impossible(Exception):
+    """The job can never run here."""
+
+
+def decode_submission(body: bytes) -> Submission:
+    """Raises msgspec.DecodeError (of which its ValidationError is one) on anything malformed."""
+    return msgspec.json.decode(body, type=Submission)
+
+
+def check_possible(job: Submission, teams: dict[str, Team], shapes: list[MachineShape]) -> None:
+    team = teams.get(job.team)
+    if team is None:
+        raise Impossible("unknown team")
+    if job.cpus > team.cpus_max or job.gpus > team.gpus_max:
+        raise Impossible("one task is beyond the team's limit")
+    for shape in shapes:
+        if (
+            (job.types is None or shape.name in job.types)
+            and (job.zone is None or not shape.zones or job.zone in shape.zones)
+            and job.cpus <= shape.cpus
+            and job.gpus <= shape.gpus
+            and job.memory_gb <= shape.memory_gb
+        ):
+            return
+    raise Impossible("a task fits no allowed machine type")
--- /dev/null
+++ b/spindleglade/workers/api.py
@@ -0,0 +1,95 @@
+"""The interface to workers: POST /v1/report, at any node.
+
+The leader answers with its token and orders. Any other node passes the report to the leader and the answer
+back. Where the leader cannot be reached, a node may renew the worker's lease by itself, with the worker's own
+token and no orders, so that neither an outage of the store nor the loss of a leader costs running work. It
+may do so only for so long that, if users meanwhile abort jobs elsewhere, the lease still ends within the time
+a cancellation has.
+"""
+
+import logging
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+import msgspec
+
+from spindleglade.clock import Clock
+from spindleglade.store.replica import Replica
+from spindleglade.submissions.records import JobViews
+from spindleglade.web import Answer
+from spindleglade.workers.messages import Report, ReportAnswer, decode_report, split_task
+
+log = logging.getLogger("spindleglade.workers")
+
+# For the report of a machine that is no more, or whose lease must run out.
+NOT_OURS = Answer(503, b"", None)
+
+
+class WorkerApi:
+    def __init__(
+        self,
+        clock: Clock,
+        replica: Replica,
+        views: JobViews,
+        alone_for: timedelta,
+        lead: Callable[[Report], ReportAnswer | None],
+        leads: Callable[[], bool],
+        relay: Callable[[bytes], Awaitable[bytes | None]],
+        saw_token: Callable[[int], None],
+    ) -> None:
+        self._clock = clock
+        self._replica = replica
+        self._views = views
+        # How long after its last proof of being current a node may renew leases.
+        self._alone_for = alone_for
+        self._lead = lead
+        self._leads = leads
+        self._relay = relay
+        self._saw_token = saw_token
+
+    async def handle(self, method: str, path: str, body: bytes) -> Answer:
+        if method != "POST":
+            return Answer(405, b'{"error":"use POST"}')
+        try:
+            report = decode_report(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            log.warning("report dropped reason=%s", error)
+            return Answer(400, b'{"error":"malformed report"}')
+        self._saw_token(report.token)
+        if self._leads():
+            answer = self.lead(report)
+            if answer is not None:
+                return Answer(200, answer)
+            return NOT_OURS
+        relayed = await self._relay(body)
+        if relayed is not None:
+            return Answer(200, relayed) if relayed else NOT_OURS
+        return self._alone(report)
+
+    def lead(self, report: Report) -> bytes | None:
+        """The leader's answer, for its own workers and those of its siblings."""
+        if not self._may_renew(report):
+            return None
+        answer = self._lead(report)
+        return None if answer is None else msgspec.json.encode(answer)
+
+    def _may_renew(self, report: Report) -> bool:
+        confirmed = self._replica.confirmed
+        return confirmed is not None and self._clock.now() - confirmed <= self._alone_for
+
+    def _alone(self, report: Report) -> Answer:
+        if not self._may_renew(report):
+            return NOT_OURS
+        for entry in report.tasks:
+            if not entry.on:
+                continue
+            try:
+                job, _ = split_task(entry.task)
+            except ValueError:
+                continue
+            view = self._views.jobs.get(job)
+            if view is not None and view.stage == "aborted":
+                # Nobody is there to stop it, so its lease has to.
+                return NOT_OURS
+        log.debug("lease renewed alone machine=%s token=%d", report.machine, report.token)
+        return Answer(200, msgspec.json.encode(ReportAnswer(report.token)))
--- /dev/null
+++ b/spindleglade/workers/dispatch.py
@@ -0,0 +1,69 @@
+"""Sends orders straight to the machines, so that a start need not wait for the next report."""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from spindleglade.clock import Clock
+from spindleglade.tasks import spawn
+from spindleglade.web import HttpClient, NoAnswer, NotSent
+from spindleglade.workers.ledger import Deposed, Ledger, Machine
+from spindleglade.workers.messages import Order, Orders, decode_report
+
+log = logging.getLogger("spindleglade.workers")
+
+
+class Dispatcher:
+    def __init__(
+        self,
+        ledger: Ledger,
+        http: HttpClient,
+        clock: Clock,
+        timeout: timedelta,
+        deposed: Callable[[str], None],
+        changed: Callable[[], None],
+    ) -> None:
+        self._ledger = ledger
+        self._http = http
+        self._clock = clock
+        self._timeout = timeout
+        self._deposed = deposed
+        self._changed = changed
+        self._stopped = False
+
+    def stop(self) -> None:
+        self._stopped = True
+
+    def send(self) -> None:
+        if self._stopped:
+            return
+        for machine, session, orders in self._ledger.to_send(self._clock.now()):
+            spawn(self._send(machine, session, orders), "send")
+
+    async def _send(self, machine: Machine, session: int, orders: list[Order]) -> None:
+        body = msgspec.json.encode(Orders(self._ledger.token, session, orders))
+        unsure, answer = False, None
+        try:
+            answer = await self._http.request("POST", machine.address, "/orders", body, self._timeout)
+        except NotSent as error:
+            log.info("orders not sent machine=%s reason=%s", machine.name, error)
+        except NoAnswer as error:
+            # The order may be carried out minutes from now.
+            unsure = True
+            log.info("orders unanswered machine=%s orders=%d reason=%s", machine.name, len(orders), error)
+        if answer is not None and answer.status not in (200, 400, 409):
+            unsure = True
+        self._ledger.sent(machine, orders, unsure, self._clock.now())
+        if answer is None or answer.status not in (200, 409) or self._stopped:
+            return
+        try:
+            self._ledger.report(decode_report(answer.body), self._clock.now(), asked=False)
+        except msgspec.DecodeError as error:
+            log.warning("answer not understood machine=%s reason=%s", machine.name, error)
+            return
+        except Deposed as error:
+            self._deposed(str(error))
+            return
+        self._changed()
--- /dev/null
+++ b/spindleglade/workers/ledger.py
@@ -0,0 +1,885 @@
+"""The leader's book of jobs, tasks and machines: what is recorded, what is on which machine, what is proven.
+
+The book decides nothing about placement and does no I/O. It takes in records, reports and results, and gives
+out three things: chunks to write, orders to send, snapshots to plan on. Every public method takes the lock
+for as long as it runs and calls nothing outside.
+
+How a task comes to be taken off a machine is the heart of it. Silence proves nothing. Proof is: a report of
+the same session under this leader's own token, newer than the last, that lacks the attempt while no start of
+it can be under way, or shows it exited; a newer session; the cloud's word that the machine is released. Only
+then does a task wait again.
+"""
+
+import logging
+import threading
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import NamedTuple
+
+from spindleglade.backfill.distributions import Predictor
+from spindleglade.backfill.planner import JobView as PlanJob
+from spindleglade.backfill.planner import MachineView, Plan, Running, Snapshot
+from spindleglade.settings.platform import Team
+from spindleglade.submissions.messages import RANK
+from spindleglade.submissions.records import TASKS, Chunk, JobRecord, Placement, runs
+from spindleglade.workers.messages import Order, Report, TaskReport, split_task, task_name
+
+log = logging.getLogger("spindleglade.workers")
+
+WAITING, PLACED, DONE = 0, 1, 2
+_WAITING_BYTE = bytes([WAITING])
+FOREVER = 1 << 62
+
+
+class Rules(NamedTuple):
+    lease: timedelta
+    report: timedelta
+    faulty_jobs: int
+    backoff: timedelta
+    backoff_most: timedelta
+
+
+@dataclass(slots=True, eq=False)
+class Assignment:
+    """One attempt of a task on a machine, from its placing until it is proven over."""
+
+    job: "Job"
+    index: int
+    attempt: int
+    machine: str
+    session: int
+    # The chunk version that must be committed before the start may be sent.
+    version: int
+    placed_at: timedelta
+    seen: bool = False
+    stage: str = "pulling"
+    # First seen running; None while it fetches, or if it ran already when this leader came.
+    since: timedelta | None = None
+    # Starts sent straight to the machine and not answered yet.
+    sending: int = 0
+    # Tally of the report whose answer carried the start, until a later report shows what came of it.
+    answered: int | None = None
+    # Why it is to stop, and with how much time to save.
+    stop: str | None = None
+    slack: float = 0.0
+    over: bool = False
+
+    @property
+    def task(self) -> str:
+        return task_name(self.job.id, self.index)
+
+    @property
+    def recorded(self) -> bool:
+        return self.job.committed(self.index) >= self.version
+
+
+@dataclass(slots=True, eq=False)
+class Lying:
+    """An exited attempt that the worker still reports; cleared once its end is recorded."""
+
+    job: "Job | None"
+    index: int
+    version: int
+
+    @property
+    def recorded(self) -> bool:
+        return self.job is None or self.job.committed(self.index) >= self.version
+
+
+class Job:
+    __slots__ = (
+        "aborted",
+        "attempts",
+        "avoid",
+        "backoff",
+        "chunk",
+        "committed_versions",
+        "done",
+        "failed_on",
+        "finished",
+        "id",
+        "mark",
+        "not_before",
+        "order",
+        "placed",
+        "rank",
+        "spec",
+        "state",
+        "types",
+        "versions",
+    )
+
+    def __init__(self, record: JobRecord, mark: int) -> None:
+        self.spec = record.spec
+        self.id = record.spec.id
+        self.chunk = record.chunk
+        # Submission order is the order in which the store took the records.
+        self.order = mark
+        self.mark = mark
+        self.rank = RANK[record.spec.priority]
+        self.types = None if record.spec.types is None else frozenset(record.spec.types)
+        self.state = bytearray(record.spec.tasks)
+        self.attempts: dict[int, int] = {}
+        self.placed: dict[int, Assignment] = {}
+        self.done = 0
+        self.aborted = record.stage == "aborted"
+        # The record says done or aborted; nothing more will be placed.
+        self.finished = record.stage == "done"
+        self.versions: dict[int, int] = {}
+        self.committed_versions: dict[int, int] = {}
+        self.not_before = timedelta(0)
+        self.backoff = timedelta(0)
+        self.avoid: set[str] = set()
+        self.failed_on: set[str] = set()
+
+    @property
+    def open(self) -> bool:
+        return not self.aborted and not self.finished
+
+    @property
+    def complete(self) -> bool:
+        return self.done == len(self.state)
+
+    def committed(self, index: int) -> int:
+        return self.committed_versions.get(index // self.chunk, 0)
+
+    def waiting(self, most: int) -> list[int]:
+        found: list[int] = []
+        at = self.state.find(_WAITING_BYTE)
+        while at >= 0 and len(found) < most:
+            found.append(at)
+            at = self.state.find(_WAITING_BYTE, at + 1)
+        return found
+
+    def encode(self, number: int) -> Chunk | None:
+        """The chunk as it stands; None if there is nothing to say."""
+        first, end = number * self.chunk, min((number + 1) * self.chunk, len(self.state))
+        chunk = Chunk(done=runs([index for index in range(first, end) if self.state[index] == DONE]))
+        for index in range(first, end):
+            assignment = self.placed.get(index)
+            if assignment is not None:
+                chunk.placed[index] = Placement(assignment.attempt, assignment.machine, assignment.session)
+            elif index in self.attempts and self.state[index] != DONE:
+                chunk.tried[index] = self.attempts[index]
+        return chunk if chunk.done or chunk.placed or chunk.tried else None
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    name: str
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    session: int = 0
+    tally: int = -1
+    # Whether a report of this session has come under this leader's token.
+    proven: bool = False
+    heard: timedelta | None = None
+    idle_since: timedelta | None = None
+    # When the cloud takes it away.
+    leaves: timedelta | None = None
+    condemned: bool = False
+    # Being given back: nothing may be placed any more.
+    releasing: bool = False
+    full_until: timedelta = timedelta(0)
+    placed: dict[tuple[str, int], Assignment] = field(default_factory=dict)
+    lying: dict[tuple[str, int], Lying] = field(default_factory=dict)
+    # Attempts whose start was sent straight here and never answered: it may still land, so they are never
+    # cleared in this session, nor taken as over for being absent. Value: when it was sent.
+    unsure: dict[tuple[str, int], timedelta] = field(default_factory=dict)
+    strays: dict[tuple[str, int], str] = field(default_factory=dict)
+    errors: set[str] = field(default_factory=set)
+    images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    claims: dict[str, tuple[int, timedelta]] = field(default_factory=dict)
+    sending: bool = False
+
+
+class MachineKind(NamedTuple):
+    cpus: float
+    gpus: float
+    memory: float
+    cache_gb: float
+    pull_gb_per_s: float
+
+
+@dataclass(slots=True)
+class Batch:
+    """What one transaction shall record."""
+
+    # job, condition on its record (None: none), chunk number, version, what to write (None: nothing is left)
+    chunks: list[tuple[str, int | None, int, int, Chunk | None]] = field(default_factory=list)
+    # Jobs all of whose tasks are done.
+    done: list[tuple[str, int, JobRecord]] = field(default_factory=list)
+    # Chunks to remove, and the jobs that are over with them.
+    removed: list[tuple[str, str]] = field(default_factory=list)
+    over: set[str] = field(default_factory=set)
+
+    @property
+    def size(self) -> int:
+        return len(self.chunks) + len(self.done) + len(self.removed)
+
+
+class Deposed(Exception):
+    """A worker has seen a higher token than this leader's."""
+
+    def __init__(self, token: int) -> None:
+        super().__init__(f"token {token}")
+        self.token = token
+
+
+class Ledger:
+    def __init__(
+        self,
+        token: int,
+        rules: Rules,
+        teams: dict[str, Team],
+        kinds: dict[str, MachineKind],
+        predictor: Predictor,
+        now: timedelta,
+    ) -> None:
+        self.lock = threading.Lock()
+        self.token = token
+        self.rules = rules
+        self.teams = teams
+        self.kinds = kinds
+        self.predictor = predictor
+        self.began = now
+        self.jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        # Machines proven gone; late reports of theirs must not bring them back.
+        self.gone: set[str] = set()
+        # Chunks that differ from what is recorded.
+        self.dirty: set[tuple[str, int]] = set()
+        self.learned: set[str] = set()
+
+    # What the store says.
+
+    def take_job(self, record: JobRecord, mark: int) -> None:
+        """A job record, from the first reading or from a later change."""
+        with self.lock:
+            job = self.jobs.get(record.spec.id)
+            if job is None:
+                if record.stage != "done":
+                    self.jobs[record.spec.id] = Job(record, mark)
+                return
+            if mark <= job.mark:
+                return
+            job.mark = mark
+            if record.stage == "done" and not job.finished:
+                # Our own write, seen by watch before its answer came.
+                self._finish(job)
+            elif record.stage == "aborted" and not job.aborted:
+                job.aborted = True
+                for assignment in job.placed.values():
+                    assignment.stop, assignment.slack = "aborted", 0.0
+                    if not assignment.seen and not assignment.recorded:
+                        # Its start was never sent, and now never will be.
+                        self._over(assignment, "aborted before its start")
+                self._retire(job)
+
+    def load_chunk(self, job_id: str, number: int, chunk: Chunk, now: timedelta) -> None:
+        """A chunk as a former leader left it; only for the first reading."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is None:
+                # The job is done; what is left of its chunks is to be removed.
+                self.dirty.add((job_id, number))
+                return
+            for first, last in chunk.done:
+                for index in range(first, min(last + 1, len(job.state))):
+                    job.state[index] = DONE
+                    job.done += 1
+            job.attempts.update(chunk.tried)
+            for index, placement in chunk.placed.items():
+                assignment = Assignment(
+                    job,
+                    index,
+                    placement.attempt,
+                    placement.machine,
+                    placement.session,
+                    0,
+                    now,
+                    stop="aborted" if job.aborted else None,
+                )
+                job.attempts[index] = placement.attempt
+                job.state[index] = PLACED
+                job.placed[index] = assignment
+                machine = self.machines.get(placement.machine)
+                if machine is None:
+                    # Not heard of yet. It counts as heard now, so that it gets a full lease to report.
+                    machine = Machine(placement.machine, "", "", "", True, heard=now)
+                    self.machines[placement.machine] = machine
+                machine.placed[(job_id, index)] = assignment
+
+    def loaded(self) -> None:
+        with self.lock:
+            for job in list(self.jobs.values()):
+                if job.complete and job.open:
+                    self.dirty.add((job.id, 0))
+                self._retire(job)
+
+    # What workers say.
+
+    def report(self, report: Report, now: timedelta, asked: bool) -> list[Order] | None:
+        """Takes in a worker's report; `asked` if it came by the worker's own request, so that its answer
+        may carry orders. Returns them, or None if the machine is none of ours any more."""
+        with self.lock:
+            if report.token > self.token:
+                raise Deposed(report.token)
+            if report.machine in self.gone:
+                return None
+            machine = self.machines.get(report.machine)
+            if machine is None:
+                machine = Machine(report.machine, report.address, report.type, report.zone, report.spot)
+                self.machines[report.machine] = machine
+                log.info(
+                    "machine up machine=%s type=%s zone=%s spot=%s",
+                    report.machine,
+                    report.type,
+                    report.zone,
+                    report.spot,
+                )
+            if (report.session, report.tally) <= (machine.session, machine.tally):
+                # Overtaken by a newer one: its list is as old as it is. The lease is renewed all the same.
+                return []
+            self._take_report(machine, report, now, asked)
+            return self._orders(machine, now, report.tally) if asked else []
+
+    def _take_report(self, machine: Machine, report: Report, now: timedelta, asked: bool) -> None:
+        machine.address, machine.type = report.address, report.type
+        machine.zone, machine.spot = report.zone, report.spot
+        machine.heard = now
+        if report.session > machine.session:
+            self._new_session(machine, report.session)
+        machine.tally = report.tally
+        # Under this token, orders of former leaders can no longer be executed.
+        current = report.token == self.token
+        machine.proven = machine.proven or current
+        if report.warning_s is None:
+            machine.leaves = None
+        else:
+            if machine.leaves is None:
+                log.info("machine leaves machine=%s warning_s=%.1f", machine.name, report.warning_s)
+            machine.leaves = now + timedelta(seconds=max(0.0, report.warning_s))
+            self._drain(machine)
+        reported: dict[tuple[str, int], TaskReport] = {}
+        for entry in report.tasks:
+            reported[(entry.task, entry.attempt)] = entry
+        for assignment in list(machine.placed.values()):
+            if assignment.session < machine.session:
+                self._over(assignment, "its session ended")
+                continue
+            if assignment.session != machine.session:
+                continue
+            key = (assignment.task, assignment.attempt)
+            entry = reported.pop(key, None)
+            if asked and assignment.answered is not None and report.tally > assignment.answered:
+                # The worker has one report under way at a time: the answer that carried this start has been
+                # executed or dropped by now.
+                assignment.answered = None
+            if entry is not None:
+                self._present(machine, assignment, entry, now)
+            elif current:
+                self._absent(machine, assignment, key)
+        machine.strays.clear()
+        for key in [key for key in machine.lying if key not in reported]:
+            # Cleared. An unsure start of it could still land, so that mark stays.
+            del machine.lying[key]
+        for key, entry in reported.items():
+            if key not in machine.lying:
+                self._stray(machine, key, entry, current)
+        if machine.placed:
+            machine.idle_since = None
+        elif machine.idle_since is None:
+            machine.idle_since = now
+
+    def _new_session(self, machine: Machine, session: int) -> None:
+        """The worker let its lease run out and killed and forgot all it had."""
+        if machine.placed:
+            log.info(
+                "session ended machine=%s session=%d lost=%d", machine.name, session, len(machine.placed)
+            )
+        for assignment in list(machine.placed.values()):
+            if assignment.session < session:
+                self._over(assignment, "its session ended")
+        machine.session, machine.tally, machine.proven = session, -1, False
+        machine.lying.clear()
+        machine.unsure.clear()
+
+    def _present(self, machine: Machine, assignment: Assignment, entry: TaskReport, now: timedelta) -> None:
+        first = not assignment.seen
+        assignment.seen = True
+        job = assignment.job
+        if entry.on:
+            if entry.stage == "running" and assignment.stage != "running" and not first:
+                assignment.since = now
+            if entry.stage == "running":
+                self._have_image(machine, job)
+            assignment.stage = entry.stage
+            return
+        started, image = assignment.since, assignment.stage != "pulling"
+        if entry.cause == "done":
+            job.state[assignment.index] = DONE
+            job.done += 1
+            self._have_image(machine, job)
+            whole = assignment.attempt == 1 or job.spec.checkpoint_s == 0
+            if started is not None and whole:
+                self.predictor.add(job.spec.team, now - started)
+                self.learned.add(job.spec.team)
+            machine.errors.discard(job.id)
+            job.backoff = timedelta(0)
+        elif entry.cause == "error":
+            self._failed(machine, job, assignment, now)
+        elif entry.cause in ("full", "in_use"):
+            # The worker counts otherwise than we do for the moment; ask it again a little later.
+            machine.full_until = now + self.rules.report * 2
+        elif entry.cause == "unknown":
+            self._back_off(job, now)
+        log.info(
+            "ended task=%s try=%d machine=%s cause=%s saved=%s fetched=%s",
+            assignment.task,
+            assignment.attempt,
+            machine.name,
+            entry.cause,
+            entry.saved,
+            image,
+        )
+        self._over(assignment, None)
+        machine.lying[(assignment.task, assignment.attempt)] = Lying(
+            job, assignment.index, job.versions.get(assignment.index // job.chunk, 0)
+        )
+
+    def _failed(self, machine: Machine, job: Job, assignment: Assignment, now: timedelta) -> None:
+        """One failure does not tell whose fault it is. Several jobs failing on a machine condemn it; a job
+        failing on several machines is paused, and speaks against none of them."""
+        job.failed_on.add(machine.name)
+        job.avoid.add(machine.name)
+        if len(job.failed_on) > 1:
+            self._back_off(job, now)
+            for name in job.failed_on:
+                other = self.machines.get(name)
+                if other is not None:
+                    other.errors.discard(job.id)
+        else:
+            machine.errors.add(job.id)
+            if len(machine.errors) >= self.rules.faulty_jobs and not machine.condemned:
+                machine.condemned = True
+                log.info("machine condemned machine=%s jobs=%s", machine.name, sorted(machine.errors))
+
+    def _back_off(self, job: Job, now: timedelta) -> None:
+        job.backoff = min(max(job.backoff * 2, self.rules.backoff), self.rules.backoff_most)
+        job.not_before = now + job.backoff
+        # Its old failures say little by then, and every machine must stay open to it.
+        job.avoid.clear()
+        log.info("job paused job=%s for_s=%.0f", job.id, job.backoff.total_seconds())
+
+    def _absent(self, machine: Machine, assignment: Assignment, key: tuple[str, int]) -> None:
+        """The newest report under this token lacks the attempt."""
+        if assignment.sending or assignment.answered is not None or key in machine.unsure:
+            return
+        if not assignment.recorded:
+            return
+        if assignment.seen:
+            self._over(assignment, "the worker has it no more")
+        elif assignment.stop is not None:
+            self._over(assignment, "stopped before its start")
+        # Otherwise the start was lost, or never sent by the leader before us: it is sent again.
+
+    def _stray(self, machine: Machine, key: tuple[str, int], entry: TaskReport, current: bool) -> None:
+        """An attempt that no assignment speaks of."""
+        if not current:
+            # A former leader's word may still be under way; wait until this token has reached the worker.
+            return
+        try:
+            job_id, index = split_task(entry.task)
+        except ValueError:
+            log.warning("task name not understood machine=%s task=%r", machine.name, entry.task)
+            return
+        job = self.jobs.get(job_id)
+        if entry.on:
+            machine.strays[key] = entry.stage
+            return
+        if (
+            entry.cause == "done"
+            and job is not None
+            and 0 <= index < len(job.state)
+            and job.state[index] == WAITING
+        ):
+            # Its work is done all the same, and the result is kept.
+            job.state[index] = DONE
+            job.done += 1
+            self._changed(job, index)
+            machine.lying[key] = Lying(job, index, job.versions[index // job.chunk])
+        else:
+            machine.lying[key] = Lying(None, 0, 0)
+
+    def _have_image(self, machine: Machine, job: Job) -> None:
+        machine.images[job.spec.image] = job.spec.image_gb
+        machine.images.move_to_end(job.spec.image)
+        kind = self.kinds.get(machine.type)
+        if kind is not None:
+            while len(machine.images) > 1 and sum(machine.images.values()) > kind.cache_gb:
+                machine.images.popitem(last=False)
+
+    # Ends.
+
+    def _over(self, assignment: Assignment, reason: str | None) -> None:
+        """The attempt is proven off its machine (or was never sent there)."""
+        if assignment.over:
+            return
+        assignment.over = True
+        job = assignment.job
+        job.placed.pop(assignment.index, None)
+        machine = self.machines.get(assignment.machine)
+        if machine is not None:
+            machine.placed.pop((job.id, assignment.index), None)
+        if job.state[assignment.index] == PLACED:
+            job.state[assignment.index] = WAITING
+        if reason is not None:
+            log.info(
+                "over task=%s try=%d machine=%s reason=%s",
+                assignment.task,
+                assignment.attempt,
+                assignment.machine,
+                reason,
+            )
+        self._changed(job, assignment.index)
+
+    def _changed(self, job: Job, index: int) -> None:
+        number = index // job.chunk
+        job.versions[number] = job.versions.get(number, 0) + 1
+        self.dirty.add((job.id, number))
+
+    def _retire(self, job: Job) -> None:
+        """A job that is over and nowhere any more: its chunks are to be removed."""
+        if not job.open and not job.placed:
+            self.dirty.add((job.id, 0))
+
+    def _drain(self, machine: Machine) -> None:
+        """Tasks that can save do so while the machine still stands; the others may yet finish."""
+        for assignment in machine.placed.values():
+            spec = assignment.job.spec
+            if assignment.stop is None and spec.checkpoint_s > 0:
+                assignment.stop, assignment.slack = "machine leaves", spec.save_s + 1.0
+
+    def machine_gone(self, name: str, reason: str) -> None:
+        """The cloud has said that the machine and all on it are gone."""
+        with self.lock:
+            self.gone.add(name)
+            machine = self.machines.get(name)
+            if machine is None:
+                return
+            log.info("machine gone machine=%s tasks=%d reason=%s", name, len(machine.placed), reason)
+            for assignment in list(machine.placed.values()):
+                self._over(assignment, "its machine is gone")
+            del self.machines[name]
+
+    # Orders.
+
+    def _orders(self, machine: Machine, now: timedelta, tally: int | None) -> list[Order]:
+        """What to tell the machine now. `tally` is that of the report being answered, None for a message of
+        our own; starts already under way one way are not sent another."""
+        orders: list[Order] = []
+        if machine.proven:
+            for (task, attempt), lying in machine.lying.items():
+                # After `clear` a start that lands late would start the task again.
+                if lying.recorded and (task, attempt) not in machine.unsure:
+                    orders.append(Order("clear", task, attempt))
+            for (task, attempt), stage in machine.strays.items():
+                if stage != "saving":
+                    orders.append(Order("stop", task, attempt, 0.0))
+        for assignment in machine.placed.values():
+            if assignment.session != machine.session:
+                continue
+            if assignment.stop is not None:
+                if assignment.seen and not (assignment.stage == "saving" and assignment.slack > 0):
+                    orders.append(Order("stop", assignment.task, assignment.attempt, assignment.slack))
+            elif (
+                machine.proven
+                and not assignment.seen
+                and not assignment.sending
+                and assignment.answered is None
+                and assignment.recorded
+                and assignment.job.open
+                and not machine.releasing
+            ):
+                orders.append(Order("start", assignment.task, assignment.attempt))
+                if tally is None:
+                    assignment.sending += 1
+                else:
+                    assignment.answered = tally
+        return orders
+
+    def to_send(self, now: timedelta) -> list[tuple[Machine, int, list[Order]]]:
+        """Orders to send straight to machines: those that bear no waiting for the next report."""
+        found = []
+        with self.lock:
+            for machine in self.machines.values():
+                if machine.sending or not machine.address or not machine.proven or machine.releasing:
+                    continue
+                if not any(self._pressing(machine, assignment) for assignment in machine.placed.values()):
+                    continue
+                orders = self._orders(machine, now, None)
+                if orders:
+                    machine.sending = True
+                    found.append((machine, machine.session, orders))
+        return found
+
+    def _pressing(self, machine: Machine, assignment: Assignment) -> bool:
+        if assignment.session != machine.session:
+            return False
+        if assignment.stop is not None:
+            return assignment.seen and assignment.stage in ("running", "pulling")
+        return (
+            not assignment.seen
+            and not assignment.sending
+            and assignment.answered is None
+            and assignment.recorded
+            and (assignment.task, assignment.attempt) not in machine.unsure
+        )
+
+    def sent(self, machine: Machine, orders: Iterable[Order], unsure: bool, now: timedelta) -> None:
+        """What became of orders sent straight to a machine: answered or never sent, or else unsure."""
+        with self.lock:
+            machine.sending = False
+            for order in orders:
+                if order.verb != "start":
+                    continue
+                if unsure:
+                    machine.unsure[(order.task, order.attempt)] = now
+                job_id, index = split_task(order.task)
+                assignment = machine.placed.get((job_id, index))
+                if assignment is not None and assignment.attempt == order.attempt:
+                    assignment.sending = 0
+
+    # Records.
+
+    def committed(self, job_id: str, number: int, version: int) -> None:
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is not None:
+                job.committed_versions[number] = max(job.committed_versions.get(number, 0), version)
+
+    def finished(self, job_id: str, mark: int) -> None:
+        """The record says that the job is done."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is not None and not job.finished:
+                job.mark = max(job.mark, mark)
+                self._finish(job)
+
+    def _finish(self, job: Job) -> None:
+        job.finished = True
+        self._all_recorded(job)
+        self.dirty.add((job.id, 0))
+        log.info("done job=%s", job.id)
+
+    @staticmethod
+    def _all_recorded(job: Job) -> None:
+        for number in range((len(job.state) - 1) // job.chunk + 1):
+            job.committed_versions[number] = FOREVER
+
+    def forget(self, job_id: str) -> None:
+        """All of a finished job's chunks are removed."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is not None and not job.open and not job.placed:
+                self._all_recorded(job)
+                del self.jobs[job_id]
+
+    def collect(self, most: int, stored: dict[str, int]) -> "Batch":
+        """Takes out of the dirty chunks what one transaction can hold. `stored` has the marks of the chunks
+        that the store holds."""
+        with self.lock:
+            batch = Batch()
+            for job_id, number in list(self.dirty):
+                if batch.size >= most:
+                    break
+                self.dirty.discard((job_id, number))
+                job = self.jobs.get(job_id)
+                if job is not None and job.open and job.complete:
+                    batch.done.append((job_id, job.mark, JobRecord("done", job.spec, job.chunk)))
+                elif job is None or (not job.open and not job.placed):
+                    for key in [key for key in stored if key.startswith(f"{TASKS}{job_id}/")]:
+                        if batch.size < most:
+                            batch.removed.append((job_id, key))
+                        else:
+                            self.dirty.add((job_id, number))
+                    batch.over.add(job_id)
+                else:
+                    version = job.versions.get(number, 0)
+                    batch.chunks.append(
+                        (job_id, job.mark if job.open else None, number, version, job.encode(number))
+                    )
+            # Jobs with chunks left over are not forgotten yet.
+            batch.over -= {job_id for job_id, _ in self.dirty}
+            return batch
+
+    def put_back(self, batch: "Batch") -> None:
+        with self.lock:
+            self.dirty.update((job_id, number) for job_id, _, number, _, _ in batch.chunks)
+            self.dirty.update((job_id, 0) for job_id, _, _ in batch.done)
+            self.dirty.update((job_id, 0) for job_id in batch.over)
+            self.dirty.update((job_id, 0) for job_id, _ in batch.removed)
+
+    # Planning.
+
+    def usable(self, machine: Machine, now: timedelta) -> bool:
+        return (
+            machine.proven
+            and machine.leaves is None
+            and not machine.condemned
+            and not machine.releasing
+            and machine.type in self.kinds
+            and machine.heard is not None
+            and now - machine.heard < self.rules.report * 2 + timedelta(seconds=1)
+            and now >= machine.full_until
+        )
+
+    def snapshot(self, now: timedelta) -> Snapshot:
+        with self.lock:
+            machines = []
+            for machine in self.machines.values():
+                machines.append(self._view(machine, now))
+            room = max((kind.cpus for kind in self.kinds.values()), default=0.0)
+            jobs = []
+            for job in sorted(self.jobs.values(), key=lambda job: job.order):
+                if not job.open or job.not_before > now or job.done + len(job.placed) >= len(job.state):
+                    continue
+                jobs.append(self._plan_job(job, room * 64))
+            return Snapshot(jobs, machines, self.teams, self.predictor.copy())
+
+    def _view(self, machine: Machine, now: timedelta) -> MachineView:
+        kind = self.kinds.get(machine.type, MachineKind(0.0, 0.0, 0.0, 0.0, 1.0))
+        tasks = []
+        pulling = set()
+        for assignment in machine.placed.values():
+            spec = assignment.job.spec
+            if assignment.stage == "pulling" and spec.image not in machine.images:
+                pulling.add(spec.image)
+            elapsed = timedelta(0)
+            if assignment.stage == "running":
+                elapsed = now - (assignment.since or assignment.placed_at)
+            unsaved = elapsed
+            if spec.checkpoint_s > 0:
+                unsaved = min(elapsed, timedelta(seconds=spec.save_s))
+            tasks.append(
+                Running(
+                    spec.id,
+                    assignment.index,
+                    spec.team,
+                    assignment.job.rank,
+                    spec.cpus,
+                    spec.gpus,
+                    spec.memory_gb,
+                    timedelta(seconds=spec.estimate_s),
+                    elapsed,
+                    unsaved,
+                    assignment.stop is not None,
+                )
+            )
+        barred = set()
+        for task, _ in list(machine.lying) + list(machine.unsure):
+            barred.add(split_task(task))
+        return MachineView(
+            machine.name,
+            machine.type,
+            machine.zone,
+            machine.spot,
+            kind.cpus,
+            kind.gpus,
+            kind.memory,
+            kind.pull_gb_per_s,
+            tasks,
+            set(machine.images),
+            pulling,
+            self.usable(machine, now),
+            {job: count for job, (count, until) in machine.claims.items() if until > now and count > 0},
+            frozenset(barred),
+            frozenset(job.id for job in self.jobs.values() if job.avoid and machine.name in job.avoid),
+        )
+
+    def _plan_job(self, job: Job, room: float) -> PlanJob:
+        spec = job.spec
+        zones: dict[str, int] = {}
+        if spec.one_zone or spec.spread:
+            for assignment in job.placed.values():
+                machine = self.machines.get(assignment.machine)
+                zone = machine.zone if machine is not None else ""
+                zones[zone] = zones.get(zone, 0) + 1
+        return PlanJob(
+            job.id,
+            spec.team,
+            spec.job_class,
+            job.rank,
+            job.waiting(int(room / spec.cpus) + 1),
+            spec.tasks,
+            spec.cpus,
+            spec.gpus,
+            spec.memory_gb,
+            spec.image,
+            spec.image_gb,
+            job.types,
+            spec.zone,
+            spec.one_zone,
+            spec.spread,
+            spec.spot,
+            timedelta(seconds=spec.estimate_s),
+            zones,
+        )
+
+    def apply(self, plan: Plan, now: timedelta) -> int:
+        """Takes over a plan as far as it still holds; the starts wait for their record."""
+        placed = 0
+        with self.lock:
+            for start in plan.starts:
+                job, machine = self.jobs.get(start.job), self.machines.get(start.machine)
+                if (
+                    job is None
+                    or machine is None
+                    or not job.open
+                    or job.state[start.index] != WAITING
+                    or not self.usable(machine, now)
+                ):
+                    continue
+                attempt = job.attempts.get(start.index, 0) + 1
+                job.attempts[start.index] = attempt
+                self._changed(job, start.index)
+                assignment = Assignment(
+                    job,
+                    start.index,
+                    attempt,
+                    machine.name,
+                    machine.session,
+                    job.versions[start.index // job.chunk],
+                    now,
+                )
+                job.state[start.index] = PLACED
+                job.placed[start.index] = assignment
+                machine.placed[(job.id, start.index)] = assignment
+                machine.idle_since = None
+                claim = machine.claims.get(job.id)
+                if claim is not None:
+                    machine.claims[job.id] = (claim[0] - 1, claim[1])
+                placed += 1
+            for stop in plan.stops:
+                machine = self.machines.get(stop.machine)
+                if machine is None:
+                    continue
+                stopping = machine.placed.get((stop.job, stop.index))
+                if stopping is not None and stopping.stop is None:
+                    spec = stopping.job.spec
+                    stopping.stop = f"room for {stop.claimant}"
+                    stopping.slack = spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
+                    log.info(
+                        "stopping task=%s machine=%s reason=%s", stopping.task, machine.name, stopping.stop
+                    )
+            for name, claimant, count in plan.claims:
+                machine = self.machines.get(name)
+                if machine is not None:
+                    before = machine.claims.get(claimant, (0, now))[0]
+                    machine.claims[claimant] = (before + count, now + self.rules.lease)
+        return placed
--- /dev/null
+++ b/spindleglade/workers/recorder.py
@@ -0,0 +1,152 @@
+"""Writes the ledger's chunks in group commits, each conditional on the leader key.
+
+One transaction is under way at a time. Every chunk is conditional on its own mark as well: a transaction
+whose
+answer was lost may be applied late, and must not undo a newer one.
+"""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from twisted.internet.defer import Deferred
+
+from spindleglade.clock import Clock, sleep
+from spindleglade.leadership.election import LEADER, Term
+from spindleglade.store.client import (
+    Committed,
+    Condition,
+    Delete,
+    Put,
+    Refused,
+    StateClient,
+    Unavailable,
+    Unknown,
+    raw,
+)
+from spindleglade.submissions.records import JOBS, chunk_key, job_key
+from spindleglade.tasks import spawn
+from spindleglade.workers.ledger import Batch, Ledger
+
+log = logging.getLogger("spindleglade.workers")
+
+
+class Recorder:
+    def __init__(
+        self,
+        ledger: Ledger,
+        client: StateClient,
+        clock: Clock,
+        term: Term,
+        marks: dict[str, int],
+        committed: Callable[[], None],
+        deposed: Callable[[str], None],
+    ) -> None:
+        self._ledger = ledger
+        self._client = client
+        self._clock = clock
+        self._term = term
+        # Marks of the chunks in the store.
+        self._marks = marks
+        self._committed = committed
+        self._deposed = deposed
+        self._stopped = False
+        self._idle: Deferred[None] | None = None
+        # Conditions cost too: four times the changes are allowed, one is the leader key, two a chunk.
+        self._most = max(1, client.limits.txn_ops - 1)
+
+    def start(self) -> None:
+        spawn(self._run(), "recorder")
+
+    def stop(self) -> None:
+        self._stopped = True
+        self.wake()
+
+    def wake(self) -> None:
+        if self._idle is not None:
+            idle, self._idle = self._idle, None
+            idle.callback(None)
+
+    async def _run(self) -> None:
+        while not self._stopped:
+            batch = self._ledger.collect(self._most, self._marks)
+            if batch.size == 0:
+                for job in batch.over:
+                    self._ledger.forget(job)
+                if not batch.over:
+                    self._idle = Deferred()
+                    await self._idle
+                continue
+            try:
+                result = await self._write(batch)
+            except (Unavailable, Unknown) as error:
+                log.info("record delayed size=%d reason=%s", batch.size, error)
+                self._ledger.put_back(batch)
+                await sleep(self._clock, timedelta(seconds=0.3))
+                continue
+            if self._stopped:
+                return
+            if isinstance(result, Committed):
+                self._apply(batch, result.turn)
+                self._committed()
+            elif LEADER in result.failed:
+                self._deposed("a record was refused")
+                return
+            else:
+                self._ledger.put_back(batch)
+                await self._reread(result)
+
+    async def _write(self, batch: Batch) -> Committed | Refused:
+        when = {LEADER: self._term.mark}
+        writes: list[Put | Delete] = []
+        for job, mark, number, _, chunk in batch.chunks:
+            key = chunk_key(job, number)
+            stored = self._marks.get(key, 0)
+            when[key] = stored
+            if mark is not None:
+                # An abort between the placing and its record makes this fail, so nothing of an aborted job
+                # is ever recorded as placed.
+                when[job_key(job)] = mark
+            if chunk is not None:
+                writes.append(Put(key, raw(chunk)))
+            elif stored:
+                writes.append(Delete(key))
+        for job, mark, record in batch.done:
+            when[job_key(job)] = mark
+            writes.append(Put(job_key(job), raw(record)))
+        for _, key in batch.removed:
+            when[key] = self._marks.get(key, 0)
+            writes.append(Delete(key))
+        return await self._client.txn([Condition(key, mark) for key, mark in when.items()], writes)
+
+    def _apply(self, batch: Batch, turn: int) -> None:
+        for job, _, number, version, chunk in batch.chunks:
+            key = chunk_key(job, number)
+            if chunk is None:
+                self._marks.pop(key, None)
+            else:
+                self._marks[key] = turn
+            self._ledger.committed(job, number, version)
+        for job, _, _ in batch.done:
+            self._ledger.finished(job, turn)
+        for _, key in batch.removed:
+            self._marks.pop(key, None)
+        for job in batch.over:
+            self._ledger.forget(job)
+
+    async def _reread(self, result: Refused) -> None:
+        """The marks we hold are not the store's: a write of ours was applied though its answer was lost, or
+        a user has aborted a job, which the replica will tell."""
+        for key in result.failed:
+            if key.startswith(JOBS):
+                await sleep(self._clock, timedelta(seconds=0.05))
+                continue
+            try:
+                entry = await self._client.get(key)
+            except (Unavailable, Unknown) as error:
+                log.info("mark not read key=%s reason=%s", key, error)
+                continue
+            if entry is None:
+                self._marks.pop(key, None)
+            else:
+                self._marks[key] = entry.mark
