--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -207,7 +207,7 @@
         for job in self.jobs:
             if job.waiting:
                 self._place_job(job, refused, full)
-        self._make_room()
+        # self._make_room()
         return self.plan
 
     def _place_job(self, job: JobView, refused: set[tuple], full: set[tuple]) -> None:
