--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -87,6 +87,8 @@
     estimate: timedelta
     # Tasks now placed, by zone.
     zones: dict[str, int] = field(default_factory=dict)
+    # All waiting tasks start in one round, or none does.
+    whole: bool = False
 
     def like(self) -> tuple:
         """Tasks with the same key are decided together."""
@@ -184,6 +186,7 @@
             for task in machine.tasks:
                 self._use(task.team, task.cpus, task.gpus)
         self.head: JobView | None = None
+        self.head_lacks = 1
         self.head_units: list[tuple[MachineView, Unit, float, float, float]] = []
 
     def _use(self, team: str, cpus: float, gpus: float) -> None:
@@ -212,10 +215,12 @@
 
     def _place_job(self, job: JobView, refused: set[tuple], full: set[tuple]) -> None:
         like, place = job.like(), job.place()
-        placed = 0
+        placed: list[MachineView] = []
         for index in job.waiting:
             if not self._within(job, guarantee=False):
                 # Held only by its team's limit: no reservation, others need not make way for it.
+                if job.whole:
+                    self._take_back(job, placed)
                 return
             passes = self.head is None or self._outranks(job)
             if not passes and like in refused:
@@ -223,10 +228,11 @@
             machine = None if place in full else self._best(job, index)
             if machine is None:
                 # A task barred from a machine says nothing about the others of its kind.
-                if (
-                    not job.one_zone
-                    and not job.spread
-                    and not any((job.id, index) in machine.barred for machine in self.machines)
+                if not (
+                    job.one_zone
+                    or job.spread
+                    or job.whole
+                    or any(job.id in at.avoided or (job.id, index) in at.barred for at in self.machines)
                 ):
                     full.add(place)
                 break
@@ -234,12 +240,26 @@
                 refused.add(like)
                 break
             self._start(job, index, machine)
-            placed += 1
-        rest = len(job.waiting) - placed
+            placed.append(machine)
+        if job.whole and len(placed) < len(job.waiting):
+            self._take_back(job, placed)
+            placed = []
+        rest = len(job.waiting) - len(placed)
         if rest:
             self.plan.unmet.append(Unmet(job, rest, self._within(job, guarantee=True)))
             if self.head is None:
-                self._reserve(job)
+                self._reserve(job, rest if job.whole else 1)
+
+    def _take_back(self, job: JobView, placed: list[MachineView]) -> None:
+        """Undoes the starts of a job that did not find room as a whole."""
+        for machine in reversed(placed):
+            self.plan.starts.pop()
+            machine.tasks.pop()
+            machine.free_cpus += job.cpus
+            machine.free_gpus += job.gpus
+            machine.free_memory += job.memory
+            job.zones[machine.zone] -= 1
+            self._use(job.team, -job.cpus, -job.gpus)
 
     def _outranks(self, job: JobView) -> bool:
         """Whether the job might stop a task of the head by the protocol's rules; then holding it back behind
@@ -332,7 +352,7 @@
 
     # The reservation.
 
-    def _reserve(self, job: JobView) -> None:
+    def _reserve(self, job: JobView, tasks: int) -> None:
         self.head = job
         self.plan.head = job.id
         self.head_units = []
@@ -340,6 +360,8 @@
             unit = self._unit(job, machine)
             if unit is not None:
                 self.head_units.append(unit)
+        free = sum(unit.free for _, unit, _, _, _ in self.head_units)
+        self.head_lacks = max(1, min(tasks, len(self.head_units)) - free)
 
     def _unit(
         self, head: JobView, machine: MachineView
@@ -367,9 +389,9 @@
         return machine, Unit(parts), cpus - head.cpus, gpus - head.gpus, memory - head.memory
 
     def _delays_head(self, job: JobView, machine: MachineView) -> bool:
-        """Algorithm 2 for one task of the candidate on the machine found for it. The head lacks one unit:
-        its next task. Both together lack two if the candidate leaves its machine without room for the
-        head's task, else still one, and then nothing is delayed."""
+        """Algorithm 2 for one task of the candidate on the machine found for it. The head lacks one unit, for
+        its next task (a whole job: as many as it lacks). Both together lack one more if the candidate leaves
+        its machine without room for the head's task; else they lack no more, and nothing is delayed."""
         for unit_machine, _, spare_cpus, spare_gpus, spare_memory in self.head_units:
             if unit_machine is machine:
                 if (
@@ -383,8 +405,8 @@
             return False
         self.plan.checks += 1
         ends, weights = self.predictor.remaining(job.team, job.estimate, timedelta(0))
-        units = [unit for _, unit, _, _, _ in self.head_units]
-        return delays(units, ends, weights, 1, 2, self.tau)
+        units = [unit for _, unit, _, _, _ in self.head_units if not unit.free]
+        return delays(units, ends, weights, self.head_lacks, self.head_lacks + 1, self.tau)
 
     # Preemption.
 
--- a/spindleglade/backfill/probability.py
+++ b/spindleglade/backfill/probability.py
@@ -20,6 +20,11 @@
     def __init__(self, parts: list[tuple[Array, Array]]) -> None:
         self._steps = [(ends, np.concatenate(([0.0], np.cumsum(weights)))) for ends, weights in parts]
 
+    @property
+    def free(self) -> bool:
+        """Nothing has to end first."""
+        return not self._steps
+
     def times(self) -> list[Array]:
         return [ends for ends, _ in self._steps]
 
@@ -48,9 +53,10 @@
     Sums, over the candidate's bins, the bin's weight times the largest M_t[c_q] - M_t[c] over events before
     the bin's end. Both shortcuts of the paper are taken: the sum only grows, and so does the maximum.
     """
-    if both_lack <= head_lacks or not units:
+    times = [times for unit in units for times in unit.times()]
+    if both_lack <= head_lacks or not times:
         return False
-    events = np.unique(np.concatenate([times for unit in units for times in unit.times()]))
+    events = np.unique(np.concatenate(times))
     done, largest, total, left = 0, 0.0, 0.0, float(weights.sum())
     for end, weight in zip(ends, weights, strict=True):
         until = int(np.searchsorted(events, end, side="left"))
--- /dev/null
+++ b/spindleglade/backfill/test_distributions.py
@@ -0,0 +1,76 @@
+"""Bins, the cut of Algorithm 1, and what enters a team's history."""
+
+import math
+from datetime import timedelta
+
+import numpy as np
+from hypothesis import given
+from hypothesis import strategies as st
+
+from spindleglade.backfill.distributions import Bins, Predictor
+
+BINS = Bins(timedelta(seconds=1), 1.8)
+models = st.lists(st.integers(0, 5), min_size=BINS.count, max_size=BINS.count).filter(any)
+
+
+@given(st.floats(0, 600_000))
+def test_every_run_falls_within_its_bin(run):
+    index = BINS.index(run)
+    assert run <= BINS.ends[index]
+    assert index == 0 or run > BINS.ends[index - 1]
+
+
+@given(models, st.floats(0, 1000), st.floats(0.1, 2000))
+def test_the_cut_is_algorithm_1(counts, elapsed, bound):
+    model = np.array(counts, float) / sum(counts)
+    ends, weights = BINS.cut(model, elapsed, bound)
+    assert abs(weights.sum() - 1) < 1e-9
+    assert all(end >= elapsed for end in ends)
+    assert list(ends) == sorted(ends)
+    expected = []
+    for weight, start, end in zip(model, BINS.starts, BINS.ends, strict=True):
+        low, high = max(start, min(elapsed, end)), min(end, max(bound, start))
+        expected.append(max(0.0, weight * math.log(high / low)) / math.log(1.8))
+    if elapsed < bound and sum(expected) > 1e-12:
+        kept = [share / sum(expected) for share in expected if share > 0]
+        assert np.allclose(weights, kept, atol=1e-6)
+    elif elapsed >= bound:
+        # Past its bound a task goes wholly into the next bin.
+        assert len(ends) == 1 and ends[0] == BINS.ends[BINS.index(elapsed) + 1]
+
+
+def seconds(value):
+    return timedelta(seconds=value)
+
+
+def test_a_team_without_history_is_predicted_by_the_estimate():
+    predictor = Predictor(BINS, needed=3, kept=100)
+    predictor.add("a", seconds(5))
+    ends, weights = predictor.remaining("a", seconds(60), seconds(20))
+    assert list(ends) == [40.0] and list(weights) == [1.0]
+
+
+def test_history_replaces_the_estimate_once_there_is_enough():
+    predictor = Predictor(BINS, needed=3, kept=100)
+    for run in (2, 20, 20):
+        predictor.add("a", seconds(run))
+    ends, weights = predictor.remaining("a", seconds(60), seconds(0))
+    assert len(ends) == 2 and np.allclose(weights, [1 / 3, 2 / 3])
+    # What has run past the short bin can only be the long one.
+    ends, weights = predictor.remaining("a", seconds(60), seconds(10))
+    assert list(weights) == [1.0] and ends[0] < 25
+    assert list(predictor.remaining("b", seconds(7), seconds(0))[0]) == [7.0]
+
+
+def test_history_survives_a_change_of_leader():
+    predictor = Predictor(BINS, needed=3, kept=100)
+    for run in (2, 20, 20):
+        predictor.add("a", seconds(run))
+    successor = Predictor(BINS, needed=3, kept=100)
+    successor.load("a", predictor.export("a"))
+    for ours, theirs in zip(
+        predictor.remaining("a", seconds(9), seconds(1)),
+        successor.remaining("a", seconds(9), seconds(1)),
+        strict=True,
+    ):
+        assert np.allclose(ours, theirs)
--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -56,7 +56,7 @@
 class FleetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     # How long a machine may stand idle before it is given back, where money counts and where it does not.
     idle_s: Seconds = 15.0
-    idle_unpriced_s: Seconds = 600.0
+    idle_unpriced_s: Seconds = 50.0
     # A machine that has not reported after this many times its nominal boot time is given up.
     boot_patience: Annotated[float, msgspec.Meta(ge=1, le=100)] = 2.5
     # First pause after a refusal for lack of capacity, doubled each time up to the second figure.
--- /dev/null
+++ b/spindleglade/settings/test_settings.py
@@ -0,0 +1,135 @@
+"""Both settings files, good and bad."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from spindleglade.cli import main
+from spindleglade.settings import SettingsError
+from spindleglade.settings.operator import OperatorSettings, parse_operator
+from spindleglade.settings.platform import load_platform
+
+GOOD = {
+    "node": "spindle-0",
+    "zone": "a",
+    "client_listen": "127.0.0.1:8080",
+    "peer_bind": "127.0.0.1:8081",
+    "siblings": [{"node": "spindle-1", "zone": "b", "endpoint": "127.0.0.2:8081"}],
+    "external": {"cloud": "127.0.0.3:1", "state": "127.0.0.3:2"},
+    "params": {
+        "size": 2,
+        "zones": ["a", "b"],
+        "teams": [{"name": "t", "cpus": 4.0, "cpus_max": 8.0, "gpus": 0.0, "gpus_max": 0.0}],
+        "objectives": [{"kind": "deadline", "class": "c", "share": 0.9}],
+        "workers": {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 30.0},
+        "state": {"rps": 100.0, "write_rps": 40.0, "value_kb": 16.0, "txn_ops": 12},
+        "cloud": {"rps": 3.0, "list_lag_s": 5.0},
+    },
+}
+
+PATHS = [
+    ("node",),
+    ("client_listen",),
+    ("siblings",),
+    ("external", "state"),
+    ("params", "teams"),
+    ("params", "workers", "lease_s"),
+    ("params", "state", "txn_ops"),
+    ("params", "cloud", "rps"),
+]
+
+
+def changed(path, value, drop=False):
+    whole = json.loads(json.dumps(GOOD))
+    at = whole
+    for key in path[:-1]:
+        at = at[key]
+    if drop:
+        del at[path[-1]]
+    else:
+        at[path[-1]] = value
+    return whole
+
+
+def write(tmp_path, text):
+    file = tmp_path / "platform.json"
+    file.write_text(text if isinstance(text, str) else json.dumps(text))
+    return str(file)
+
+
+def test_fields_we_do_not_know_are_ignored(tmp_path):
+    loaded = load_platform(write(tmp_path, GOOD | {"later": [1, {"x": None}]}))
+    assert loaded.nodes == 2 and loaded.teams["t"].cpus_max == 8.0 and loaded.wants("deadline")
+
+
+@pytest.mark.parametrize("path", PATHS)
+@pytest.mark.parametrize("value", [None, True, -1, [], {}, "", 1e300])
+def test_a_bad_value_names_its_field(tmp_path, path, value):
+    if path == ("siblings",) and value == []:
+        return
+    if path == ("params", "teams") and value == []:
+        return
+    with pytest.raises(SettingsError) as error:
+        load_platform(write(tmp_path, changed(path, value)))
+    assert path[-1] in str(error.value) and "\n" not in str(error.value)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_a_missing_field_is_named(tmp_path, path):
+    with pytest.raises(SettingsError, match=path[-1]):
+        load_platform(write(tmp_path, changed(path, None, drop=True)))
+
+
+@given(st.text(max_size=60))
+def test_no_text_breaks_the_operators_file(text):
+    try:
+        assert isinstance(parse_operator("x.hcl", text), OperatorSettings)
+    except SettingsError as error:
+        assert "\n" not in str(error) and str(error).startswith("x.hcl: ")
+
+
+def test_operators_settings_are_read_from_hcl():
+    read = parse_operator(
+        "x.hcl", 'backfill {\n tau = 0.1\n predictor = "estimates"\n}\nlog {\n level = "debug"\n}\n'
+    )
+    assert read.backfill.tau == 0.1 and read.backfill.predictor == "estimates"
+    assert read.log.level == "debug" and read.fleet == OperatorSettings().fleet
+
+
+@pytest.mark.parametrize(
+    ("text", "field"),
+    [
+        ("backfill {\n tau = 2\n}", "backfill.tau"),
+        ("backfill {\n tau = true\n}", "backfill.tau"),
+        ("backfill {\n nope = 1\n}", "nope"),
+        ("tau = 1", "tau"),
+        ("nope {\n}", "nope"),
+        ("log {\n}\nlog {\n}", "log"),
+        ("backfill {", "x.hcl"),
+    ],
+)
+def test_a_bad_operators_setting_names_its_field(text, field):
+    with pytest.raises(SettingsError) as error:
+        parse_operator("x.hcl", text)
+    assert field in str(error.value)
+
+
+def test_the_command_line_answers_bad_input_in_one_line(tmp_path, capsys, monkeypatch):
+    good = write(tmp_path, GOOD)
+    bad = tmp_path / "bad.hcl"
+    bad.write_text("backfill {\n tau = 2\n}\n")
+    assert main(["check", "--config", good]) == 0
+    capsys.readouterr()
+    assert main(["check", "--config", good, "--settings", str(bad)]) == 2
+    shown = capsys.readouterr().err
+    assert shown.count("\n") == 1 and "bad.hcl" in shown and "backfill.tau" in shown
+    monkeypatch.setenv("LOG_LEVEL", "loud")
+    assert main(["check", "--config", good]) == 2
+    assert "LOG_LEVEL" in capsys.readouterr().err
+    for arguments in (["check"], ["check", "--config"], ["dance"], []):
+        with pytest.raises(SystemExit) as stopped:
+            main(arguments)
+        assert stopped.value.code == 2
+        assert capsys.readouterr().err.count("\n") == 1
--- a/spindleglade/submissions/api.py
+++ b/spindleglade/submissions/api.py
@@ -91,6 +91,7 @@
         try:
             job = decode_submission(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            log.info("submission malformed reason=%s", error)
             return _error(400, str(error))
         if job.id in self._views.jobs:
             return await self._known(job.id)
--- a/spindleglade/submissions/messages.py
+++ b/spindleglade/submissions/messages.py
@@ -20,7 +20,8 @@
     id: JobId = msgspec.field(name="ref")
     job_class: Text = msgspec.field(name="bobbin")
     team: Text = msgspec.field(name="crew")
-    kind: Literal["array"] = msgspec.field(name="weave")
+    # `array` tasks run each for itself; a `group` runs all at once; `standing` ones run until aborted.
+    kind: Literal["array", "group", "standing"] = msgspec.field(name="weave")
     priority: Priority = msgspec.field(name="urgency")
     tasks: Annotated[int, msgspec.Meta(ge=1, le=MOST_TASKS)] = msgspec.field(name="threads")
     cpus: Positive = msgspec.field(name="vcpus")
@@ -31,15 +32,25 @@
     one_zone: bool = msgspec.field(name="together")
     spread: bool = msgspec.field(name="scatter")
     spot: bool = msgspec.field(name="windfall")
-    estimate_s: Amount = msgspec.field(name="reckon_s")
     checkpoint_s: Amount = msgspec.field(name="knot_s")
     save_s: Amount = msgspec.field(name="tie_s")
+    # Only standing tasks may go without an estimate.
+    estimate_s: Amount | None = msgspec.field(name="reckon_s", default=None)
     types: Annotated[list[Text], msgspec.Meta(max_length=50)] | None = msgspec.field(
         name="frames", default=None
     )
     zone: Text | None = msgspec.field(name="glade", default=None)
     deadline_s: Amount | None = msgspec.field(name="due_s", default=None)
 
+    def __post_init__(self) -> None:
+        if self.estimate_s is None and self.kind != "standing":
+            raise ValueError("Object missing required field `reckon_s`")
+
+    @property
+    def whole(self) -> bool:
+        """Whether all tasks must find room at once."""
+        return self.kind != "array"
+
 
 class JobAnswer(msgspec.Struct):
     id: str = msgspec.field(name="ref")
@@ -76,8 +87,9 @@
     team = teams.get(job.team)
     if team is None:
         raise Impossible("unknown team")
-    if job.cpus > team.cpus_max or job.gpus > team.gpus_max:
-        raise Impossible("one task is beyond the team's limit")
+    at_once = job.tasks if job.whole else 1
+    if job.cpus * at_once > team.cpus_max or job.gpus * at_once > team.gpus_max:
+        raise Impossible("more is needed at once than the team's limit")
     for shape in shapes:
         if (
             (job.types is None or shape.name in job.types)
--- a/spindleglade/workers/ledger.py
+++ b/spindleglade/workers/ledger.py
@@ -22,7 +22,7 @@
 from spindleglade.backfill.planner import JobView as PlanJob
 from spindleglade.backfill.planner import MachineView, Plan, Running, Snapshot
 from spindleglade.settings.platform import Team
-from spindleglade.submissions.messages import RANK
+from spindleglade.submissions.messages import RANK, Submission
 from spindleglade.submissions.records import TASKS, Chunk, JobRecord, Placement, runs
 from spindleglade.workers.messages import Order, Report, TaskReport, split_task, task_name
 
@@ -33,6 +33,11 @@
 FOREVER = 1 << 62
 
 
+def _estimate(spec: Submission) -> timedelta:
+    # Standing tasks run until they are aborted.
+    return timedelta(days=7) if spec.estimate_s is None else timedelta(seconds=spec.estimate_s)
+
+
 class Rules(NamedTuple):
     lease: timedelta
     report: timedelta
@@ -438,6 +443,12 @@
             machine.full_until = now + self.rules.report * 2
         elif entry.cause == "unknown":
             self._back_off(job, now)
+        if job.spec.kind == "group" and entry.cause != "done":
+            # The others wait for this one in vain; the group starts again as a whole.
+            for other in job.placed.values():
+                if other is not assignment and other.stop is None:
+                    other.stop = "its group broke up"
+                    other.slack = job.spec.save_s + 1.0 if job.spec.checkpoint_s > 0 else 0.0
         log.info(
             "ended task=%s try=%d machine=%s cause=%s saved=%s fetched=%s",
             assignment.task,
@@ -749,6 +760,8 @@
             for job in sorted(self.jobs.values(), key=lambda job: job.order):
                 if not job.open or job.not_before > now or job.done + len(job.placed) >= len(job.state):
                     continue
+                if job.spec.kind == "group" and job.placed:
+                    continue
                 jobs.append(self._plan_job(job, room * 64))
             return Snapshot(jobs, machines, self.teams, self.predictor.copy())
 
@@ -775,7 +788,7 @@
                     spec.cpus,
                     spec.gpus,
                     spec.memory_gb,
-                    timedelta(seconds=spec.estimate_s),
+                    _estimate(spec),
                     elapsed,
                     unsaved,
                     assignment.stop is not None,
@@ -815,7 +828,7 @@
             spec.team,
             spec.job_class,
             job.rank,
-            job.waiting(int(room / spec.cpus) + 1),
+            job.waiting(len(job.state) if spec.whole else int(room / spec.cpus) + 1),
             spec.tasks,
             spec.cpus,
             spec.gpus,
@@ -827,8 +840,9 @@
             spec.one_zone,
             spec.spread,
             spec.spot,
-            timedelta(seconds=spec.estimate_s),
+            _estimate(spec),
             zones,
+            spec.whole and not job.placed,
         )
 
     def apply(self, plan: Plan, now: timedelta) -> int:
