A simulated deployment under generated troubles checks every rule of the protocol

Real nodes run among stand-ins of the state service, the cloud and the workers, on a simulated clock and a network that loses, holds back and delivers late. A node gets what it reaches the world by handed in, so that the same wiring runs in both.

--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -1,18 +1,21 @@
 """Wires the slices into one node."""
 
 import logging
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 import msgspec
 from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
 
-from spindleglade.clock import Clock, seconds
+from spindleglade.clock import Clock, ReactorClock, seconds
 from spindleglade.fleet.client import CloudClient
 from spindleglade.fleet.types import TypeBook
 from spindleglade.leadership.election import Election, Term
-from spindleglade.leadership.links import Forward, LinkDown, Links, Ping, Relay
+from spindleglade.leadership.links import Forward, LinkDown, Links, Ping, Relay, Siblings
 from spindleglade.reign import Reign
 from spindleglade.settings import OperatorSettings, Platform
 from spindleglade.settings.platform import split_address
@@ -20,22 +23,71 @@
 from spindleglade.store.replica import Replica
 from spindleglade.submissions.api import UserApi
 from spindleglade.submissions.records import JOBS, PREFIX, JobRecord, JobViews
-from spindleglade.web import Answer, HttpClient, site
+from spindleglade.web import Answer, HttpClient, Requester, site
 from spindleglade.workers.api import WorkerApi
 from spindleglade.workers.messages import Report, ReportAnswer, decode_report
 
 log = logging.getLogger("spindleglade")
 
 
+Compute = Callable[..., Awaitable[Any]]
+
+
+def run_node(platform: Platform, settings: OperatorSettings, reactor: Any) -> None:
+    """Puts a node on the network; it serves once the reactor runs."""
+    clock = ReactorClock(reactor)
+    pool = ThreadPool(1, 1, "planning")
+
+    def connect(*handlers: Any) -> Links:
+        return Links(reactor, clock, platform.siblings, seconds(settings.leadership.ping_s), *handlers)
+
+    node = Node(
+        platform,
+        settings,
+        clock,
+        HttpClient(reactor, per_host=8),
+        connect,
+        partial(deferToThreadPool, reactor, pool),
+    )
+
+    def not_listening(failure: Any, address: str) -> None:
+        log.error("cannot listen address=%s reason=%s", address, failure.getErrorMessage())
+        reactor.stop()
+
+    def begin() -> None:
+        pool.start()
+        reactor.addSystemEventTrigger("before", "shutdown", pool.stop)
+        for address, factory in (
+            (platform.client_listen, site(node.handle)),
+            (platform.peer_listen, node.links.factory()),
+        ):
+            host, port = split_address(address)
+            listening = TCP4ServerEndpoint(reactor, port, backlog=512, interface=host).listen(factory)
+            listening.addErrback(not_listening, address)
+        node.start()
+
+    reactor.callWhenRunning(begin)
+
+
 class Node:
-    def __init__(self, platform: Platform, settings: OperatorSettings, clock: Clock, reactor: Any) -> None:
+    """One controller. What it reaches the world by is handed in, so that tests can stand in for it: `http`
+    sends requests, `connect` makes the links to the siblings, `compute` runs the planning off this thread."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        settings: OperatorSettings,
+        clock: Clock,
+        http: Requester,
+        connect: Callable[..., Siblings],
+        compute: Compute,
+    ) -> None:
         self._platform = platform
         self._settings = settings
         self._clock = clock
-        self._reactor = reactor
+        self._http = http
+        self._compute = compute
         params = platform.params
-        self._pool = ThreadPool(1, 1, "planning")
-        self._http = HttpClient(reactor, per_host=8)
         self.client = StateClient(
             self._http,
             platform.external.state,
@@ -64,16 +116,7 @@
         )
         self.reign: Reign | None = None
         self.replica.listen(self._job_changed)
-        self.links = Links(
-            reactor,
-            clock,
-            platform.siblings,
-            seconds(settings.leadership.ping_s),
-            self._hello,
-            self._relayed,
-            self._forwarded,
-            self._saw,
-        )
+        self.links = connect(self._hello, self._relayed, self._forwarded, self._saw)
         self.users = UserApi(
             self.client, self.replica, self.views, platform.teams, self.types.shapes, self._forward
         )
@@ -94,25 +137,12 @@
         return self.reign is not None and self.reign.active
 
     def start(self) -> None:
-        self._pool.start()
-        self._reactor.addSystemEventTrigger("before", "shutdown", self._pool.stop)
-        for address, factory in (
-            (self._platform.client_listen, site(self.handle)),
-            (self._platform.peer_listen, self.links.factory()),
-        ):
-            host, port = split_address(address)
-            listening = TCP4ServerEndpoint(self._reactor, port, backlog=512, interface=host).listen(factory)
-            listening.addErrback(self._not_listening, address)
         self.replica.start()
         self.types.start()
         self.election.start()
         self.links.start()
         log.info("started node=%s zone=%s", self._platform.name, self._platform.zone)
 
-    def _not_listening(self, failure: Any, address: str) -> None:
-        log.error("cannot listen address=%s reason=%s", address, failure.getErrorMessage())
-        self._reactor.stop()
-
     async def handle(self, method: str, path: str, body: bytes) -> Answer:
         if path == "/v1/report":
             return await self.workers.handle(method, path, body)
@@ -126,8 +156,7 @@
             self._platform,
             self._settings,
             self._clock,
-            self._reactor,
-            self._pool,
+            self._compute,
             self._http,
             self.client,
             self.cloud,
--- a/spindleglade/backfill/rounds.py
+++ b/spindleglade/backfill/rounds.py
@@ -3,12 +3,11 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.threads import deferToThreadPool
-from twisted.python.threadpool import ThreadPool
 
 from spindleglade.backfill.planner import Plan, Planner
 from spindleglade.clock import Clock, sleep
@@ -24,8 +23,7 @@
         ledger: Ledger,
         planner: Planner,
         clock: Clock,
-        reactor: object,
-        pool: ThreadPool,
+        compute: Callable[..., Awaitable[Any]],
         least: timedelta,
         planned: Callable[[Plan, int], None],
         broken: Callable[[str], None],
@@ -33,8 +31,7 @@
         self._ledger = ledger
         self._planner = planner
         self._clock = clock
-        self._reactor = reactor
-        self._pool = pool
+        self._compute = compute
         self._least = least
         self._planned = planned
         self._broken = broken
@@ -63,7 +60,7 @@
                 continue
             self._wanted = False
             began = self._clock.now()
-            plan, cpu = await deferToThreadPool(self._reactor, self._pool, self._plan, began)
+            plan, cpu = await self._compute(self._plan, began)
             if self._stopped:
                 return
             placed = self._ledger.apply(plan, self._clock.now())
--- a/spindleglade/cli.py
+++ b/spindleglade/cli.py
@@ -53,13 +53,11 @@
     from twisted.internet import reactor
     from twisted.python.log import PythonLoggingObserver
 
-    from spindleglade.app import Node
-    from spindleglade.clock import ReactorClock
+    from spindleglade.app import run_node
 
     PythonLoggingObserver("twisted").start()
     logging.getLogger("twisted").setLevel(logging.ERROR)
-    node = Node(platform, settings, ReactorClock(reactor), reactor)
-    reactor.callWhenRunning(node.start)  # type: ignore[attr-defined]
+    run_node(platform, settings, reactor)
     reactor.run()  # type: ignore[attr-defined]
     return 0
 
--- a/spindleglade/fleet/client.py
+++ b/spindleglade/fleet/client.py
@@ -9,7 +9,7 @@
 from spindleglade.clock import Clock, sleep
 from spindleglade.fleet.messages import Listed, MachineType, Page, Release, Rent, Rented, Types
 from spindleglade.store.budget import Budget
-from spindleglade.web import HttpClient, NoAnswer, NotSent, Response
+from spindleglade.web import NoAnswer, NotSent, Requester, Response
 
 MOST_RENTED = 50
 MOST_RELEASED = 100
@@ -28,7 +28,7 @@
 
 
 class CloudClient:
-    def __init__(self, http: HttpClient, address: str, clock: Clock, rps: float, timeout: timedelta) -> None:
+    def __init__(self, http: Requester, address: str, clock: Clock, rps: float, timeout: timedelta) -> None:
         self._http = http
         self._address = address
         self._clock = clock
--- a/spindleglade/leadership/links.py
+++ b/spindleglade/leadership/links.py
@@ -7,7 +7,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -206,6 +206,17 @@
                 timer.cancel()
 
 
+class Siblings(Protocol):
+    """What a node needs of its links."""
+
+    links: list[Any]
+
+    def start(self) -> None: ...
+
+    def to(self, node: str) -> Any:
+        """The link to that node if it is up."""
+
+
 class Links:
     """All siblings, and the port at which they reach this node."""
 
--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -1,12 +1,11 @@
 """All that a node does only while it leads: the ledger and everything that acts on it."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any
 
 import msgspec
-from twisted.python.threadpool import ThreadPool
 
 from spindleglade.backfill.distributions import Bins, History, Predictor
 from spindleglade.backfill.planner import Plan, Planner
@@ -20,7 +19,7 @@
 from spindleglade.store.client import Put, StateClient, TooOld, Unavailable, Unknown, raw
 from spindleglade.submissions.records import HISTORY, JOBS, PREFIX, TASKS, Chunk, JobRecord, split_chunk_key
 from spindleglade.tasks import spawn
-from spindleglade.web import HttpClient
+from spindleglade.web import Requester
 from spindleglade.workers.dispatch import Dispatcher
 from spindleglade.workers.ledger import Deposed, Ledger, Rules
 from spindleglade.workers.messages import Report, ReportAnswer
@@ -36,9 +35,8 @@
         platform: Platform,
         settings: OperatorSettings,
         clock: Clock,
-        reactor: Any,
-        pool: ThreadPool,
-        http: HttpClient,
+        compute: Callable[..., Awaitable[Any]],
+        http: Requester,
         client: StateClient,
         cloud: CloudClient,
         types: TypeBook,
@@ -48,8 +46,7 @@
         self._platform = platform
         self._settings = settings
         self._clock = clock
-        self._reactor = reactor
-        self._pool = pool
+        self._compute = compute
         self._http = http
         self._client = client
         self._cloud = cloud
@@ -145,8 +142,7 @@
             ledger,
             Planner(self._settings.backfill.tau),
             self._clock,
-            self._reactor,
-            self._pool,
+            self._compute,
             seconds(self._settings.backfill.round_s),
             self._planned,
             self._deposed,
--- a/spindleglade/store/client.py
+++ b/spindleglade/store/client.py
@@ -4,7 +4,6 @@
 was certainly not carried out; `Unknown`, it may have been, or may still be.
 """
 
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any, NamedTuple
 
@@ -13,9 +12,7 @@
 from spindleglade.clock import Clock, sleep
 from spindleglade.settings.platform import StateLimits
 from spindleglade.store.budget import Budget
-from spindleglade.web import HttpClient, NoAnswer, NotSent, Response
-
-Requester = Callable[..., Awaitable[Response]]
+from spindleglade.web import NoAnswer, NotSent, Requester, Response
 
 
 class Unavailable(Exception):
@@ -127,7 +124,7 @@
 class StateClient:
     def __init__(
         self,
-        http: HttpClient,
+        http: Requester,
         address: str,
         clock: Clock,
         limits: StateLimits,
--- a/spindleglade/web.py
+++ b/spindleglade/web.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import msgspec
 from twisted.internet import defer
@@ -73,6 +73,19 @@
         return _TrackedEndpoint(self.reactor, uri.host.decode(), uri.port, timeout=self.timeout)
 
 
+class Requester(Protocol):
+    async def request(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None = None,
+        timeout: timedelta | None = None,
+    ) -> Response:
+        """Raises NotSent or NoAnswer; every call ends within its timeout."""
+        ...
+
+
 class HttpClient:
     """Requests over kept connections; every call ends within its timeout."""
 
--- a/spindleglade/workers/dispatch.py
+++ b/spindleglade/workers/dispatch.py
@@ -8,7 +8,7 @@
 
 from spindleglade.clock import Clock
 from spindleglade.tasks import spawn
-from spindleglade.web import HttpClient, NoAnswer, NotSent
+from spindleglade.web import NoAnswer, NotSent, Requester
 from spindleglade.workers.ledger import Deposed, Ledger, Machine
 from spindleglade.workers.messages import Order, Orders, decode_report
 
@@ -19,7 +19,7 @@
     def __init__(
         self,
         ledger: Ledger,
-        http: HttpClient,
+        http: Requester,
         clock: Clock,
         timeout: timedelta,
         deposed: Callable[[str], None],
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,148 @@
+"""The whole service under generated troubles: every rule of the protocol, whatever fails."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from spindleglade.clock import seconds
+from tests.world import World
+
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            [
+                "outage",
+                "refuse_leader",
+                "refuse_any",
+                "kill_leader",
+                "kill_any",
+                "kill_all",
+                "cut_leader_workers",
+                "cut_leader_siblings",
+                "cut_leader_all",
+                "cut_machine",
+                "machine_dies",
+                "spot_notice",
+                "cloud_trouble",
+                "losses",
+            ]
+        ),
+        st.floats(2, 22),
+        st.floats(0.3, 12),
+        st.booleans(),
+        st.integers(0, 100),
+    ),
+    min_size=1,
+    max_size=5,
+)
+
+
+def do(world, kind, length, hold, pick):
+    span = seconds(length)
+    leader = world.leader()
+    index = pick % 3 if leader is None or kind.endswith("any") else leader
+    name = world.node_names[index]
+    machines = [worker.machine.address for worker in world.workers.values() if not worker.gone]
+    if kind == "outage":
+        world.state.outage(span)
+    elif kind.startswith("refuse"):
+        world.refused.add(name)
+        world.clock.later(span, world.refused.discard, name)
+    elif kind == "kill_all":
+        for at in range(3):
+            kill(world, at, span)
+    elif kind.startswith("kill"):
+        kill(world, index, span)
+    elif kind == "cut_leader_workers":
+        world.cut(name, machines, hold, span)
+    elif kind == "cut_leader_siblings":
+        world.cut(name, world.node_names, hold, span)
+    elif kind == "cut_leader_all":
+        world.cut(name, [*machines, *world.node_names, "state", "cloud", "user"], hold, span)
+    elif kind == "cut_machine" and machines:
+        world.cut(machines[pick % len(machines)], world.node_names, hold, span)
+    elif kind == "machine_dies" and machines:
+        world.kill_machine(machines[pick % len(machines)].partition(":")[0])
+    elif kind == "spot_notice" and machines:
+        worker = world.workers[machines[pick % len(machines)].partition(":")[0]]
+        worker.warning = world.clock.now() + span
+        worker.changed = True
+        world.clock.later(span, take, world, worker)
+    elif kind == "cloud_trouble":
+        world.cloud.trouble = True
+        world.clock.later(span, setattr, world.cloud, "trouble", False)
+    elif kind == "losses":
+        world.lose = 0.1
+        world.clock.later(span, setattr, world, "lose", 0.0)
+
+
+def kill(world, index, span):
+    world.kill_node(index)
+    world.clock.later(span, lambda: world.node_names[index] in world.nodes or world.start_node(index))
+
+
+def take(world, worker):
+    world.cloud.machines.pop(worker.machine.name, None)
+    worker.end()
+
+
+JOBS = st.lists(
+    st.fixed_dictionaries(
+        {
+            "crew": st.sampled_from(["red", "blue"]),
+            "urgency": st.sampled_from(["critical", "normal", "best_effort"]),
+            "threads": st.integers(1, 6),
+            "vcpus": st.sampled_from([1.0, 3.0, 8.0]),
+            "windfall": st.booleans(),
+            "glade": st.sampled_from([None, None, "a"]),
+            "together": st.booleans(),
+            "scatter": st.booleans(),
+            "knot_s": st.sampled_from([0.0, 2.0]),
+            "run_s": st.floats(0.2, 8),
+            "abort_after": st.sampled_from([None, None, 0.5, 3.0, 9.0]),
+            "at": st.floats(0, 20),
+        }
+    ),
+    min_size=2,
+    max_size=6,
+)
+
+
+@settings(max_examples=25)
+@given(st.integers(0, 1 << 30), JOBS, FAULTS, st.sampled_from([0.0, 0.05]))
+def test_no_rule_is_broken_whatever_fails(seed, jobs, faults, error):
+    world = World(seed, error=error)
+    for number, job in enumerate(jobs):
+        fields = {key: value for key, value in job.items() if key not in ("abort_after", "at")}
+        if fields["glade"] is not None:
+            fields["scatter"] = False
+        if fields["together"]:
+            fields["scatter"] = False
+        world.clock.later(seconds(job["at"]), lambda n=number, f=fields: world.submit(n, **f))
+        if job["abort_after"] is not None:
+            at = seconds(job["at"] + job["abort_after"])
+            world.clock.later(at, world.abort, f"job-{number:06d}")
+    for kind, at, length, hold, pick in faults:
+        world.clock.later(seconds(at), do, world, kind, length, hold, pick)
+
+    def poll():
+        for number in [*range(len(jobs)), 999_999]:
+            world.poll(f"job-{number:06d}")
+        world.clock.later(seconds(1.3), poll)
+
+    poll()
+    world.run(seconds(70))
+    # All is healthy again by now: what was accepted has run, and users are told so.
+    for job in world.accepted:
+        assert world.told[job] in ("done", "aborted"), (job, world.told[job])
+    assert world.accepted
+
+
+def test_a_quiet_day_is_done_quickly():
+    world = World(1)
+    world.run(seconds(3))
+    jobs = [world.submit(number, threads=3, run_s=2.0) for number in range(3)]
+    world.run(seconds(25))
+    for job in jobs:
+        world.poll(job)
+    world.run(seconds(1))
+    assert [world.told[job] for job in jobs] == ["done"] * 3
