--- a/spindleglade/fleet/types.py
+++ b/spindleglade/fleet/types.py
@@ -15,7 +15,7 @@
 from spindleglade.store.replica import Replica
 from spindleglade.submissions.messages import MachineShape
 from spindleglade.submissions.records import TYPES
-from spindleglade.tasks import spawn
+from spindleglade.tasks import keep
 from spindleglade.workers.ledger import MachineKind
 
 log = logging.getLogger("spindleglade.fleet")
@@ -61,7 +61,7 @@
         }
 
     def start(self) -> None:
-        spawn(self._run(), "types loop")
+        keep(self._clock, self._run, "types loop")
 
     async def _run(self) -> None:
         while True:
--- a/spindleglade/leadership/election.py
+++ b/spindleglade/leadership/election.py
@@ -25,7 +25,7 @@
 )
 from spindleglade.store.replica import Replica, Unconfirmed
 from spindleglade.submissions.records import PREFIX
-from spindleglade.tasks import spawn
+from spindleglade.tasks import keep, spawn
 
 log = logging.getLogger("spindleglade.leadership")
 
@@ -85,7 +85,7 @@
         replica.listen(self.listener)
 
     def start(self) -> None:
-        spawn(self._run(), "election")
+        keep(self._clock, self._run, "election")
 
     def listener(self, key: str, value: bytes | None, mark: int) -> None:
         if key == LEADER:
--- a/spindleglade/leadership/links.py
+++ b/spindleglade/leadership/links.py
@@ -17,7 +17,7 @@
 
 from spindleglade.clock import Clock, sleep
 from spindleglade.settings.platform import Sibling, split_address
-from spindleglade.tasks import spawn
+from spindleglade.tasks import keep, spawn
 
 log = logging.getLogger("spindleglade.leadership")
 
@@ -132,7 +132,7 @@
         )
 
     def start(self) -> None:
-        spawn(self._run(), "link")
+        keep(self._clock, self._run, "link")
 
     async def _run(self) -> None:
         host, port = split_address(self.sibling.address)
--- a/spindleglade/store/replica.py
+++ b/spindleglade/store/replica.py
@@ -11,12 +11,11 @@
 from contextlib import suppress
 from datetime import timedelta
 
-import msgspec
 from twisted.internet.defer import Deferred
 
 from spindleglade.clock import Clock, sleep
 from spindleglade.store.client import StateClient, TooOld, Unavailable, Unknown
-from spindleglade.tasks import spawn
+from spindleglade.tasks import keep, spawn
 
 log = logging.getLogger("spindleglade.store")
 
@@ -52,8 +51,8 @@
         self._listeners.append(listener)
 
     def start(self) -> None:
-        spawn(self._follow(), "watch")
-        spawn(self._prove(), "proof loop")
+        keep(self._clock, self._follow, "watch")
+        keep(self._clock, self._prove, "proof loop")
 
     async def _follow(self) -> None:
         while True:
@@ -103,8 +102,9 @@
         for listener in self._listeners:
             try:
                 listener(key, value, mark)
-            except (msgspec.DecodeError, ValueError):
-                log.exception("value not understood key=%s", key)
+            except Exception:
+                # One listener's trouble with one key must not end the watch, by which all else is learned.
+                log.exception("change not taken key=%s", key)
 
     async def _prove(self) -> None:
         while True:
@@ -142,6 +142,10 @@
                 reason = "replica too old"
             except (Unavailable, Unknown) as error:
                 reason = str(error)
+            except Exception as error:
+                # Whoever waits must hear of it, and the next catch-up must still begin.
+                log.exception("catch-up broke")
+                reason = repr(error)
             for waiter in served:
                 if reason is None:
                     waiter.callback(None)
--- a/spindleglade/tasks.py
+++ b/spindleglade/tasks.py
@@ -2,10 +2,13 @@
 
 import logging
 from collections.abc import Callable, Coroutine
+from datetime import timedelta
 from typing import Any
 
 from twisted.internet.defer import Deferred, ensureDeferred
 
+from spindleglade.clock import Clock
+
 log = logging.getLogger("spindleglade")
 
 
@@ -18,3 +21,8 @@
             broken(f"{what} broke")
 
     return ensureDeferred(work).addErrback(failed)
+
+
+def keep(clock: Clock, make: Callable[[], Coroutine[Any, Any, Any]], what: str) -> None:
+    """A loop that the node cannot do without: if it breaks it begins again, a second later."""
+    spawn(make(), what, lambda _: clock.later(timedelta(seconds=1), keep, clock, make, what))
--- a/spindleglade/workers/ledger.py
+++ b/spindleglade/workers/ledger.py
@@ -278,7 +278,8 @@
                 self._finish(job)
             elif record.stage == "aborted" and not job.aborted:
                 job.aborted = True
-                for assignment in job.placed.values():
+                # A copy: what was never started is over at once and leaves the dictionary.
+                for assignment in list(job.placed.values()):
                     assignment.stop, assignment.slack = "aborted", 0.0
                     if not assignment.seen and not assignment.recorded:
                         # Its start was never sent, and now never will be.
