--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -207,7 +207,9 @@
     def run(self) -> Plan:
         refused: set[tuple] = set()
         full: set[tuple] = set()
-        for job in self.jobs:
+        # Submission order within a priority. A higher priority goes first because it could stop what a lower
+        # one started in the same round, and starting only to stop loses work.
+        for job in sorted(self.jobs, key=lambda job: -job.rank):
             if job.waiting:
                 self._place_job(job, refused, full)
         # self._make_room()
@@ -422,13 +424,17 @@
                     break
 
     def _may_stop(self, job: JobView, guaranteed: bool, victim: Running, freed: dict[str, float]) -> bool:
-        if victim.rank < job.rank:
-            return True
-        if not guaranteed or victim.team == job.team:
-            return False
+        """Work within its team's guarantee stands above work beyond one, then the priorities decide. Both of
+        the protocol's reasons are kept to, but with one order between them: taken each for itself, a high
+        priority beyond its guarantee and a normal one within would stop each other for ever."""
         team = self.teams.get(victim.team)
+        if team is None:
+            return True
         used = self.used_cpus.get(victim.team, 0.0) - freed.get(victim.team, 0.0)
-        return team is not None and used - victim.cpus >= team.cpus - _EPS and used > team.cpus + _EPS
+        beyond = used - victim.cpus >= team.cpus - _EPS
+        if beyond == (not guaranteed) or (victim.team == job.team):
+            return victim.rank < job.rank
+        return beyond
 
     def _stop_for(self, job: JobView) -> bool:
         guaranteed = self._within(job, guarantee=True)
