--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -147,6 +147,15 @@
     guaranteed: bool
 
 
+@dataclass(slots=True)
+class Freeing:
+    """What a machine has free now, and what its tasks are expected to free: after how many seconds, how many
+    CPUs and GPUs, how much memory."""
+
+    machine: MachineView
+    tasks: list[tuple[float, float, float, float]]
+
+
 @dataclass(slots=True)
 class Plan:
     starts: list[Start] = field(default_factory=list)
@@ -154,6 +163,8 @@
     # Room held on a machine for a job's tasks: machine, job, tasks.
     claims: list[tuple[str, str, int]] = field(default_factory=list)
     unmet: list[Unmet] = field(default_factory=list)
+    # For the fleet; only where something found no room.
+    freeing: list[Freeing] = field(default_factory=list)
     head: str | None = None
     checks: int = 0
 
@@ -213,8 +224,17 @@
             if job.waiting:
                 self._place_job(job, refused, full)
         # self._make_room()
+        if self.plan.unmet:
+            self.plan.freeing = [self._freeing(machine) for machine in self.machines]
         return self.plan
 
+    def _freeing(self, machine: MachineView) -> Freeing:
+        tasks = []
+        for task in machine.tasks:
+            ends, weights = self.predictor.remaining(task.team, task.estimate, task.elapsed)
+            tasks.append((float(ends @ weights), task.cpus, task.gpus, task.memory))
+        return Freeing(machine, tasks)
+
     def _place_job(self, job: JobView, refused: set[tuple], full: set[tuple]) -> None:
         like, place = job.like(), job.place()
         placed: list[MachineView] = []
--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from spindleglade.backfill.planner import JobView, Unmet
+from spindleglade.backfill.planner import Freeing, JobView, Unmet
 from spindleglade.fleet.messages import MachineType
 from spindleglade.settings.platform import Team
 
@@ -60,6 +60,26 @@
         return True
 
 
+def soon_free(freeing: list[Freeing], boot_s: dict[str, float]) -> list[Room]:
+    """Running machines as room for waiting work: what will be free there before a machine rented now could
+    be up. Renting for it would pay for a boot and save no time."""
+    rooms = []
+    for entry in freeing:
+        machine, horizon = entry.machine, boot_s.get(entry.machine.type, 0.0)
+        ending = [task for task in entry.tasks if task[0] < horizon]
+        rooms.append(
+            Room(
+                machine.type,
+                machine.zone,
+                machine.spot,
+                machine.free_cpus + sum(task[1] for task in ending),
+                machine.free_gpus + sum(task[2] for task in ending),
+                machine.free_memory + sum(task[3] for task in ending),
+            )
+        )
+    return rooms
+
+
 def _suits(job: JobView, type: str, zone: str, spot: bool) -> bool:
     return (
         (job.types is None or type in job.types)
@@ -85,6 +105,7 @@
     teams: dict[str, Team],
     used_cpus: dict[str, float],
     most: int,
+    steady: bool = False,
 ) -> list[tuple[Offer, int]]:
     rooms = list(booting)
     wanted: dict[Kind, int] = {}
@@ -101,7 +122,7 @@
             if not any(room.take(job) for room in rooms):
                 if sum(wanted.values()) >= most:
                     break
-                offer = _cheapest(job, offers)
+                offer = _cheapest(job, offers, steady)
                 if offer is None:
                     break
                 wanted[offer.kind] = wanted.get(offer.kind, 0) + 1
@@ -119,9 +140,10 @@
     return [(by_kind[kind], count) for kind, count in wanted.items()]
 
 
-def _cheapest(job: JobView, offers: list[Offer]) -> Offer | None:
+def _cheapest(job: JobView, offers: list[Offer], steady: bool) -> Offer | None:
     """The least price for each CPU the job's tasks can use; among equals the smaller machine, which stands
-    idle less, then the zone as given."""
+    idle less, then the zone as given. `steady`: machines that are not taken back come first whatever they
+    cost."""
     best, best_score = None, None
     for offer in offers:
         fits = _per_machine(job, offer.type)
@@ -129,7 +151,8 @@
             continue
         # Of a machine that the job's shape cannot fill, the rest may serve others: it counts half.
         filled = min(1.0, fits * job.cpus / offer.type.cpus)
-        score = (offer.price / (offer.type.cpus * (filled + 1) / 2), offer.type.cpus)
+        price = offer.price / (offer.type.cpus * (filled + 1) / 2)
+        score = (steady and offer.spot, price, offer.type.cpus)
         if best_score is None or score < best_score:
             best, best_score = offer, score
     return best
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from spindleglade.backfill.planner import Unmet
+from spindleglade.backfill.planner import Freeing, Plan, Unmet
 from spindleglade.clock import ZERO, Clock, seconds, sleep
 from spindleglade.fleet.client import MOST_RELEASED, MOST_RENTED, CloudClient, NoCapacity, Refused, Silent
-from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, rentals
+from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, rentals, soon_free
 from spindleglade.fleet.messages import Listed, MachineType, Rent
 from spindleglade.settings.operator import FleetSettings, WorkerSettings
 from spindleglade.tasks import spawn
@@ -41,7 +41,7 @@
         settings: FleetSettings,
         workers: WorkerSettings,
         list_lag: timedelta,
-        priced: bool,
+        ready: bool,
         changed: Callable[[], None],
     ) -> None:
         self._ledger = ledger
@@ -51,7 +51,13 @@
         self._types = types
         self._zones = zones
         self._settings = settings
-        self._idle = seconds(settings.idle_s if priced else settings.idle_unpriced_s)
+        # Whether an aim of the deployment says how soon work starts. The settings do not say whether money
+        # counts, so it is taken to, except where being ready does.
+        self._ready = ready
+        self._idle = seconds(settings.idle_ready_s if ready else settings.idle_s)
+        # Since when spot machines alone have not met the demand, and since when no job has been open.
+        self._short_since: timedelta | None = None
+        self._calm_since: timedelta | None = None
         self._silence = ledger.rules.lease + seconds(workers.silence_margin_s)
         self._list_lag = list_lag
         self._changed = changed
@@ -63,6 +69,7 @@
         self._asking: dict[str, tuple[Rent, MachineType]] = {}
         self._releasing: set[str] = set()
         self._unmet: list[Unmet] = []
+        self._freeing: list[Freeing] = []
         self._stopped = False
 
     def start(self) -> None:
@@ -72,9 +79,10 @@
     def stop(self) -> None:
         self._stopped = True
 
-    def demand(self, unmet: list[Unmet]) -> None:
-        """What the latest planning round found no room for."""
-        self._unmet = unmet
+    def demand(self, plan: Plan) -> None:
+        """What the latest planning round found no room for, and what will be free soon."""
+        self._unmet = plan.unmet
+        self._freeing = plan.freeing
 
     async def _run(self) -> None:
         while not self._stopped:
@@ -104,7 +112,9 @@
         return offers
 
     def _rent(self, now: timedelta) -> None:
-        if not self._unmet or len(self._asking) >= 4:
+        if not self._unmet:
+            self._short_since = None
+        if len(self._asking) >= 4:
             return
         rooms = [
             Room(boot.type.name, boot.zone, boot.spot, boot.type.cpus, boot.type.gpus, boot.type.memory_gb)
@@ -119,7 +129,20 @@
             used: dict[str, float] = {}
             for job in self._ledger.jobs.values():
                 used[job.spec.team] = used.get(job.spec.team, 0.0) + job.spec.cpus * len(job.placed)
-        wanted = rentals(self._unmet, rooms, self._offers(now), self._ledger.teams, used, MOST_RENTED)
+        types = self._types()
+        if not self._ready:
+            rooms += soon_free(self._freeing, {entry.name: entry.boot_s for entry in types})
+        wanted = rentals(
+            self._unmet,
+            rooms,
+            self._offers(now),
+            self._ledger.teams,
+            used,
+            MOST_RENTED,
+            steady=self._ready,
+        )
+        if not self._ready:
+            wanted = self._wait_for_spot(wanted, now)
         for offer, count in wanted:
             self._asked += 1
             # The token is never given twice, so neither is the name, by whichever node.
@@ -127,6 +150,18 @@
             self._asking[rent.request] = (rent, offer.type)
             spawn(self._ask(rent, offer.type), "ask")
 
+    def _wait_for_spot(self, wanted: list[tuple[Offer, int]], now: timedelta) -> list[tuple[Offer, int]]:
+        """Ordinary machines cost several times as much, so where money counts they are rented for work that
+        could use spot ones only once those have been short for a while."""
+        if all(offer.spot for offer, _ in wanted):
+            return wanted
+        if self._short_since is None:
+            self._short_since = now
+        if now - self._short_since >= seconds(self._settings.ordinary_wait_s):
+            return wanted
+        strict = [entry for entry in self._unmet if not entry.job.spot]
+        return [(offer, count) for offer, count in wanted if offer.spot or strict]
+
     async def _ask(self, rent: Rent, kind: MachineType) -> None:
         key: Kind = (rent.type, rent.zone, rent.spot)
         try:
--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -135,7 +135,7 @@
             self._settings.fleet,
             own,
             self._platform.params.cloud.list_lag,
-            self._platform.wants("price", "useful"),
+            self._platform.wants("wait"),
             self._changed,
         )
         self._rounds = Rounds(
@@ -187,7 +187,7 @@
             self._dispatcher.send()
 
     def _planned(self, plan: Plan, placed: int) -> None:
-        self._fleet.demand(plan.unmet)
+        self._fleet.demand(plan)
         if placed:
             self._recorder.wake()
         if plan.stops:
--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -54,9 +54,10 @@
 
 
 class FleetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    # How long a machine may stand idle before it is given back, where money counts and where it does not.
+    # How long a machine may stand idle before it is given back; the second where an aim of the deployment
+    # says how soon work has to start.
     idle_s: Seconds = 15.0
-    idle_unpriced_s: Seconds = 50.0
+    idle_ready_s: Seconds = 50.0
     # A machine that has not reported after this many times its nominal boot time is given up.
     boot_patience: Annotated[float, msgspec.Meta(ge=1, le=100)] = 2.5
     # First pause after a refusal for lack of capacity, doubled each time up to the second figure.
@@ -64,7 +65,7 @@
     refused_most_s: Seconds = 30.0
     list_s: Seconds = 4.0
     types_s: Seconds = 30.0
-    # How many times the price of a spot machine an ordinary one may cost before spot is waited for.
+    # How long spot machines must have been short before ordinary ones are rented for work that may use both.
     ordinary_wait_s: Seconds = 20.0
 
 
