--- a/run.py
+++ b/run.py
@@ -5,7 +5,8 @@
 
 ROOT = os.path.dirname(os.path.abspath(__file__))
 sys.path[:0] = [ROOT, os.path.join(ROOT, "target", "deps")]
-# Controllers may not write beside their sources; the build leaves the compiled files here.
+# Controllers may not write beside their sources; the build leaves the compiled files here, those of the
+# standard library too: Python looks for all of them under the one prefix.
 sys.pycache_prefix = os.path.join(ROOT, "target", "pycache")
 
 from spindleglade.cli import main  # noqa: E402  (the path must be set first)
--- a/spindleglade/cli.py
+++ b/spindleglade/cli.py
@@ -26,6 +26,7 @@
         command = commands.add_parser(name, help=text, description=text)
         command.add_argument("--settings", metavar="FILE.hcl", help="the operators' own settings, in HCL")
         command.add_argument("--config", metavar="FILE", required=True, help="the platform's JSON settings")
+    commands.add_parser("warm", help="import everything once, so that the compiled files are there")
     return made
 
 
@@ -64,6 +65,13 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     options = parser().parse_args(arguments)
+    if options.command == "warm":
+        import hcl2  # noqa: F401
+        import twisted.internet.reactor  # noqa: F401
+
+        import spindleglade.app  # noqa: F401
+
+        return 0
     try:
         platform = load_platform(options.config)
         settings = load_operator(options.settings)
