Silent machines are probed and given up earlier; nodes behind a cut vouch through the store; a deaf leader resigns

Causes, from the logs of nabd rough and troubles: machines taken without notice held their tasks for a whole lease; a leader cut off from machines and siblings, but not from the store, led on and would have released every machine.

--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -11,7 +11,7 @@
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
 
-from spindleglade.clock import Clock, ReactorClock, seconds
+from spindleglade.clock import Clock, ReactorClock, seconds, sleep
 from spindleglade.fleet.client import CloudClient
 from spindleglade.fleet.types import TypeBook
 from spindleglade.leadership.election import Election, Term
@@ -19,10 +19,11 @@
 from spindleglade.reign import Reign
 from spindleglade.settings import OperatorSettings, Platform
 from spindleglade.settings.platform import split_address
-from spindleglade.store.client import StateClient
+from spindleglade.store.client import Put, StateClient, Unavailable, Unknown, raw
 from spindleglade.store.replica import Replica
 from spindleglade.submissions.api import UserApi
-from spindleglade.submissions.records import JOBS, PREFIX, JobRecord, JobViews
+from spindleglade.submissions.records import JOBS, PREFIX, VOUCHED, JobRecord, JobViews
+from spindleglade.tasks import keep
 from spindleglade.web import Answer, HttpClient, Requester, site
 from spindleglade.workers.api import WorkerApi
 from spindleglade.workers.messages import Report, ReportAnswer, decode_report
@@ -30,6 +31,9 @@
 log = logging.getLogger("spindleglade")
 
 
+# How often a node on its own tells the leader, through the store, whose leases it renews.
+VOUCH_S = 1.5
+
 Compute = Callable[..., Awaitable[Any]]
 
 
@@ -113,7 +117,9 @@
             seconds(settings.leadership.lease_s),
             self._won,
             self._lost,
+            lambda: self._clock.now() >= self._stand_back,
         )
+        self._stand_back = timedelta(0)
         self.reign: Reign | None = None
         self.replica.listen(self._job_changed)
         self.links = connect(self._hello, self._relayed, self._forwarded, self._saw)
@@ -141,6 +147,8 @@
         self.types.start()
         self.election.start()
         self.links.start()
+        keep(self._clock, self._vouch, "vouching")
+        keep(self._clock, self._look_around, "looking around")
         log.info("started node=%s zone=%s", self._platform.name, self._platform.zone)
 
     async def handle(self, method: str, path: str, body: bytes) -> Answer:
@@ -171,9 +179,45 @@
             reign.end()
 
     def _job_changed(self, key: str, value: bytes | None, mark: int) -> None:
+        if self.reign is not None and key.startswith(VOUCHED) and value is not None:
+            self.reign.vouched(msgspec.json.decode(value, type=list[str]))
         if self.reign is not None and key.startswith(JOBS) and value is not None:
             self.reign.job_changed(msgspec.json.decode(value, type=JobRecord), mark)
 
+    async def _vouch(self) -> None:
+        """A node that renews leases without the leader, because the two cannot reach each other, tells it so
+        through the store. Else the leader would release machines that are only behind a cut."""
+        every = seconds(VOUCH_S)
+        while True:
+            await sleep(self._clock, every)
+            now = self._clock.now()
+            alone = self.workers.alone
+            names = sorted(name for name, at in alone.items() if now - at <= every * 2)
+            if not names:
+                alone.clear()
+                continue
+            key = VOUCHED + self._platform.name
+            try:
+                await self.client.txn([], [Put(key, raw(names))], urgent=True)
+            except (Unavailable, Unknown) as error:
+                log.info("could not vouch reason=%s", error)
+
+    async def _look_around(self) -> None:
+        """A leader that hears neither machines nor siblings is cut off, though the store still answers it; it
+        makes room for one that is not, and stands back for a while."""
+        patience = max(self._platform.params.workers.report * 3, seconds(3))
+        while True:
+            await sleep(self._clock, seconds(0.5))
+            reign = self.reign
+            if reign is None or not reign.active or not self._platform.siblings:
+                continue
+            with reign.ledger.lock:
+                machines = any(machine.address for machine in reign.ledger.machines.values())
+            deaf = machines and self._clock.now() - reign.heard > patience
+            if deaf and not any(link.up for link in self.links.links):
+                self._stand_back = self._clock.now() + patience * 2
+                await self.election.resign("hears neither machines nor siblings")
+
     def _lead(self, report: Report) -> ReportAnswer | None:
         return self.reign.report(report) if self.reign is not None else None
 
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -16,7 +16,8 @@
 from spindleglade.fleet.messages import Listed, MachineType, Rent
 from spindleglade.settings.operator import FleetSettings, WorkerSettings
 from spindleglade.tasks import spawn
-from spindleglade.workers.ledger import Ledger
+from spindleglade.web import NoAnswer, Requester
+from spindleglade.workers.ledger import Ledger, Machine
 
 log = logging.getLogger("spindleglade.fleet")
 
@@ -40,7 +41,7 @@
         zones: list[str],
         settings: FleetSettings,
         workers: WorkerSettings,
-        list_lag: timedelta,
+        http: Requester,
         ready: bool,
         changed: Callable[[], None],
     ) -> None:
@@ -59,7 +60,9 @@
         self._short_since: timedelta | None = None
         self._calm_since: timedelta | None = None
         self._silence = ledger.rules.lease + seconds(workers.silence_margin_s)
-        self._list_lag = list_lag
+        # A machine that misses so many reports and does not answer either is given up before its lease ends.
+        self._early = max(ledger.rules.report * workers.silent_reports, seconds(4))
+        self._http = http
         self._changed = changed
         self._refusals = Refusals(seconds(settings.refused_s), seconds(settings.refused_most_s))
         self._booting: dict[str, Booting] = {}
@@ -68,6 +71,7 @@
         # Requests under way: what they may bring counts as booting until they are answered.
         self._asking: dict[str, tuple[Rent, MachineType]] = {}
         self._releasing: set[str] = set()
+        self._probing: set[str] = set()
         self._unmet: list[Unmet] = []
         self._freeing: list[Freeing] = []
         self._stopped = False
@@ -91,6 +95,7 @@
                 return
             now = self._clock.now()
             self._arrived()
+            self._probe(now)
             self._give_back(now)
             self._rent(now)
 
@@ -99,6 +104,32 @@
             for name in [name for name in self._booting if name in self._ledger.machines]:
                 del self._booting[name]
 
+    def _probe(self, now: timedelta) -> None:
+        """Asks the machines that have missed reports straight. Where most of them have, it is this node that
+        is cut off, and nothing is concluded."""
+        patience = self._ledger.rules.report * 2 + seconds(0.5)
+        with self._ledger.lock:
+            machines = [machine for machine in self._ledger.machines.values() if machine.address]
+            missing = [machine for machine in machines if self._ledger.silent(machine, now, patience)]
+            asked = [m for m in missing if m.mute is None and m.name not in self._releasing]
+        if len(missing) * 2 <= len(machines):
+            for machine in asked:
+                if machine.name not in self._probing:
+                    self._probing.add(machine.name)
+                    spawn(self._ask_machine(machine), "probe")
+
+    async def _ask_machine(self, machine: Machine) -> None:
+        began = self._clock.now()
+        try:
+            await self._http.request("GET", machine.address, "/show", None, seconds(2))
+        except NoAnswer as error:
+            with self._ledger.lock:
+                if machine.heard is None or machine.heard < began:
+                    machine.mute = self._clock.now()
+            log.info("machine does not answer machine=%s reason=%s", machine.name, error)
+        finally:
+            self._probing.discard(machine.name)
+
     # Renting.
 
     def _offers(self, now: timedelta) -> list[Offer]:
@@ -193,6 +224,9 @@
                 return
         finally:
             del self._asking[rent.request]
+            # Another kind may have what this one lacks.
+            if not self._stopped:
+                self._rent(self._clock.now())
 
     # Giving back.
 
@@ -203,8 +237,10 @@
                 if machine.name in self._releasing:
                     continue
                 reason = None
-                if machine.heard is not None and now - machine.heard > self._silence:
+                if self._ledger.silent(machine, now, self._silence):
                     reason = "silent"
+                elif machine.mute is not None and self._ledger.silent(machine, now, self._early):
+                    reason = "silent and does not answer"
                 elif machine.condemned and not machine.placed:
                     reason = "faulty"
                 elif any(
--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -55,6 +55,8 @@
         self._ended = False
         # Everything has been read: from here on it orders.
         self.active = False
+        # When a report last came, by whichever way.
+        self.heard = clock.now()
         # Changes that came while everything was being read.
         self._early: list[tuple[JobRecord, int]] | None = []
         bins = Bins(seconds(settings.backfill.first_bin_s), settings.backfill.bin_factor)
@@ -134,7 +136,7 @@
             self._platform.params.zones,
             self._settings.fleet,
             own,
-            self._platform.params.cloud.list_lag,
+            self._http,
             self._platform.wants("wait"),
             self._changed,
         )
@@ -167,12 +169,17 @@
         self.ledger.take_job(record, mark)
         self._changed()
 
+    def vouched(self, machines: list[str]) -> None:
+        if self.active:
+            self.ledger.vouch(machines, self._clock.now())
+
     def report(self, report: Report) -> ReportAnswer | None:
         try:
             orders = self.ledger.report(report, self._clock.now(), asked=True)
         except Deposed as error:
             self._deposed(str(error))
             return None
+        self.heard = self._clock.now()
         self._changed()
         return None if orders is None else ReportAnswer(self.term.token, orders)
 
--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -40,6 +40,8 @@
 class WorkerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     # How long past its lease a silent machine is waited for before it is given up.
     silence_margin_s: Seconds = 1.0
+    # Reports that a machine which does not answer either must have missed to be given up earlier.
+    silent_reports: Seconds = 3.5
     # Kept free between the last renewal a node may give unconfirmed and the end of a cancellation.
     cancel_margin_s: Seconds = 3.0
     # How long an order sent straight to a machine may go unanswered.
--- a/spindleglade/submissions/records.py
+++ b/spindleglade/submissions/records.py
@@ -15,6 +15,7 @@
 TASKS = PREFIX + "task/"
 TYPES = PREFIX + "types"
 HISTORY = PREFIX + "history/"
+VOUCHED = PREFIX + "vouched/"
 
 
 class JobRecord(msgspec.Struct, frozen=True):
--- a/spindleglade/workers/api.py
+++ b/spindleglade/workers/api.py
@@ -46,6 +46,8 @@
         self._leads = leads
         self._relay = relay
         self._saw_token = saw_token
+        # Machines whose leases this node renewed by itself, and when.
+        self.alone: dict[str, timedelta] = {}
 
     async def handle(self, method: str, path: str, body: bytes) -> Answer:
         if method != "POST":
@@ -91,5 +93,6 @@
             if view is not None and view.stage == "aborted":
                 # Nobody is there to stop it, so its lease has to.
                 return NOT_OURS
+        self.alone[report.machine] = self._clock.now()
         log.debug("lease renewed alone machine=%s token=%d", report.machine, report.token)
         return Answer(200, msgspec.json.encode(ReportAnswer(report.token)))
--- a/spindleglade/workers/ledger.py
+++ b/spindleglade/workers/ledger.py
@@ -183,6 +183,10 @@
     # Whether a report of this session has come under this leader's token.
     proven: bool = False
     heard: timedelta | None = None
+    # When a sibling that cannot reach this leader last said, through the store, that it renews its lease.
+    vouched: timedelta | None = None
+    # When a message straight to it last went unanswered since it was heard.
+    mute: timedelta | None = None
     idle_since: timedelta | None = None
     # When the cloud takes it away.
     leaves: timedelta | None = None
@@ -357,7 +361,7 @@
     def _take_report(self, machine: Machine, report: Report, now: timedelta, asked: bool) -> None:
         machine.address, machine.type = report.address, report.type
         machine.zone, machine.spot = report.zone, report.spot
-        machine.heard = now
+        machine.heard, machine.mute = now, None
         if report.session > machine.session:
             self._new_session(machine, report.session)
         machine.tally = report.tally
@@ -589,6 +593,18 @@
                 self._over(assignment, "its machine is gone")
             del self.machines[name]
 
+    def vouch(self, names: list[str], now: timedelta) -> None:
+        """A sibling renews these machines' leases: they live, though nothing is heard of them here."""
+        with self.lock:
+            for name in names:
+                machine = self.machines.get(name)
+                if machine is not None:
+                    machine.vouched = now
+
+    def silent(self, machine: Machine, now: timedelta, since: timedelta) -> bool:
+        latest = max(machine.heard or self.began, machine.vouched or self.began)
+        return now - latest > since
+
     # Orders.
 
     def _orders(self, machine: Machine, now: timedelta, tally: int | None) -> list[Order]:
