--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -165,6 +165,9 @@
     unmet: list[Unmet] = field(default_factory=list)
     # For the fleet; only where something found no room.
     freeing: list[Freeing] = field(default_factory=list)
+    # CPUs of usable machines that nothing takes, and those that teams use.
+    spare_cpus: float = 0.0
+    used_cpus: dict[str, float] = field(default_factory=dict)
     head: str | None = None
     checks: int = 0
 
@@ -224,6 +227,8 @@
             if job.waiting:
                 self._place_job(job, refused, full)
         # self._make_room()
+        self.plan.spare_cpus = sum(max(0.0, machine.free_cpus) for machine in self.machines)
+        self.plan.used_cpus = self.used_cpus
         if self.plan.unmet:
             self.plan.freeing = [self._freeing(machine) for machine in self.machines]
         return self.plan
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -74,6 +75,8 @@
         self._probing: set[str] = set()
         self._unmet: list[Unmet] = []
         self._freeing: list[Freeing] = []
+        self._spare = 0.0
+        self._used: dict[str, float] = {}
         self._stopped = False
 
     def start(self) -> None:
@@ -86,6 +89,7 @@
     def demand(self, plan: Plan) -> None:
         """What the latest planning round found no room for, and what will be free soon."""
         self._unmet = plan.unmet
+        self._spare, self._used = plan.spare_cpus, plan.used_cpus
         self._freeing = plan.freeing
 
     async def _run(self) -> None:
@@ -174,6 +178,8 @@
         )
         if not self._ready:
             wanted = self._wait_for_spot(wanted, now)
+        elif not wanted:
+            wanted = self._hold(now)
         for offer, count in wanted:
             self._asked += 1
             # The token is never given twice, so neither is the name, by whichever node.
@@ -181,6 +187,28 @@
             self._asking[rent.request] = (rent, offer.type)
             spawn(self._ask(rent, offer.type), "ask")
 
+    def _missing_cpus(self) -> float:
+        """CPUs that teams could claim by their guarantees beyond what is spare. A machine takes longer to
+        boot than such work may wait, so where the aims ask for readiness, and while there is work at all,
+        room for the guarantees is kept up."""
+        with self._ledger.lock:
+            if not any(job.open for job in self._ledger.jobs.values()):
+                return -1e9
+        claims = sum(
+            max(0.0, team.cpus - self._used.get(team.name, 0.0)) for team in self._ledger.teams.values()
+        )
+        coming = sum(boot.type.cpus for boot in self._booting.values())
+        coming += sum(rent.count * kind.cpus for rent, kind in self._asking.values())
+        return claims * self._settings.hold_guarantees - self._spare - coming
+
+    def _hold(self, now: timedelta) -> list[tuple[Offer, int]]:
+        missing = self._missing_cpus()
+        offers = [offer for offer in self._offers(now) if offer.type.cpus > 0]
+        if missing <= 0 or not offers:
+            return []
+        offer = min(offers, key=lambda offer: (offer.spot, offer.price / offer.type.cpus))
+        return [(offer, min(MOST_RENTED, math.ceil(missing / offer.type.cpus)))]
+
     def _wait_for_spot(self, wanted: list[tuple[Offer, int]], now: timedelta) -> list[tuple[Offer, int]]:
         """Ordinary machines cost several times as much, so where money counts they are rented for work that
         could use spot ones only once those have been short for a while."""
@@ -232,6 +260,7 @@
 
     def _give_back(self, now: timedelta) -> None:
         names: dict[str, str] = {}
+        extra = -self._missing_cpus() if self._ready else math.inf
         with self._ledger.lock:
             for machine in self._ledger.machines.values():
                 if machine.name in self._releasing:
@@ -257,7 +286,10 @@
                     and not machine.placed
                     and now - machine.idle_since > self._idle
                 ):
-                    reason = "idle"
+                    cpus = self._ledger.kinds[machine.type].cpus if machine.type in self._ledger.kinds else 0
+                    if cpus <= extra:
+                        extra -= cpus
+                        reason = "idle"
                 if reason is not None:
                     machine.releasing = True
                     names[machine.name] = reason
--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -60,6 +60,9 @@
     # says how soon work has to start.
     idle_s: Seconds = 15.0
     idle_ready_s: Seconds = 50.0
+    # Share of the teams' unused guarantees for which machines are kept up, where an aim says how soon work
+    # has to start.
+    hold_guarantees: Annotated[float, msgspec.Meta(ge=0, le=10)] = 1.0
     # A machine that has not reported after this many times its nominal boot time is given up.
     boot_patience: Annotated[float, msgspec.Meta(ge=1, le=100)] = 2.5
     # First pause after a refusal for lack of capacity, doubled each time up to the second figure.
