--- /dev/null
+++ b/spindleglade/backfill/test_planner.py
@@ -0,0 +1,182 @@
+"""Planning rounds: what they may never do, and the order they keep."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from spindleglade.backfill.distributions import Bins, Predictor
+from spindleglade.backfill.planner import JobView, MachineView, Planner, Running, Snapshot
+from spindleglade.clock import seconds
+from spindleglade.settings import Team
+
+TEAMS = {"t": Team("t", 16.0, 64.0), "u": Team("u", 8.0, 12.0)}
+
+
+def job(id, cpus=2.0, waiting=1, team="t", estimate=10.0, rank=1, **fields):
+    given = {
+        "job_class": "c",
+        "memory": 1.0,
+        "gpus": 0.0,
+        "image": "i",
+        "image_gb": 1.0,
+        "types": None,
+        "zone": None,
+        "one_zone": False,
+        "spread": False,
+        "spot": True,
+    } | fields
+    return JobView(
+        id=id,
+        team=team,
+        rank=rank,
+        waiting=list(range(waiting)),
+        tasks=waiting,
+        cpus=cpus,
+        estimate=seconds(estimate),
+        **given,
+    )
+
+
+def machine(name, tasks=(), cpus=8.0, **fields):
+    given = {"type": "m", "zone": "a", "spot": False} | fields
+    return MachineView(
+        name=name, cpus=cpus, gpus=0.0, memory=32.0, pull_gb_per_s=1.0, tasks=list(tasks), **given
+    )
+
+
+def running(cpus=8.0, elapsed=0.0, estimate=10.0, team="t", rank=1):
+    return Running(
+        "job-0", 0, team, rank, cpus, 0.0, 1.0, seconds(estimate), seconds(elapsed), seconds(elapsed)
+    )
+
+
+def plan(jobs, machines, tau=0.05, predictor=None):
+    predictor = predictor or Predictor(Bins(seconds(1), 1.8), 3, 100)
+    return Planner(tau).plan(Snapshot(jobs, machines, TEAMS, predictor))
+
+
+def started(result):
+    return [(start.job, start.machine) for start in result.starts]
+
+
+def test_jobs_start_in_submission_order():
+    result = plan([job("job-1", 8.0), job("job-2", 8.0)], [machine("n-1")])
+    assert started(result) == [("job-1", "n-1")] and result.head == "job-2"
+
+
+def test_a_short_job_passes_the_head_and_a_long_one_does_not():
+    """Head needs a whole machine; one frees its 8 CPUs in 10 s, the other has 4 CPUs free beside a task that
+    ends in 5 s. By estimates, what ends after 5 s there would delay the head."""
+
+    def machines():
+        return [machine("n-1", [running(8.0)]), machine("n-2", [running(4.0, estimate=5.0)])]
+
+    head = job("job-1", 8.0)
+    assert started(plan([head, job("job-2", 4.0, estimate=4.0)], machines())) == [("job-2", "n-2")]
+    assert started(plan([head, job("job-2", 4.0, estimate=6.0)], machines())) == []
+
+
+def test_tau_decides_by_the_distribution_not_by_the_estimate():
+    """Nine of ten runs of the team are short: the chance that a candidate outlasts the task beside it is
+    weighed against tau, whatever its owner's estimate says."""
+    predictor = Predictor(Bins(seconds(1), 1.8), 10, 1000)
+    for run in [1.5] * 180 + [60.0] * 20:
+        predictor.add("u", seconds(run))
+
+    def round(tau):
+        busy = [machine("n-1", [running(4.0, estimate=5.0)])]
+        jobs = [job("job-1", 8.0), job("job-2", 4.0, team="u", estimate=100.0)]
+        return started(plan(jobs, busy, tau, predictor))
+
+    assert round(0.2) == [("job-2", "n-1")]
+    assert round(0.05) == []
+
+
+def test_a_job_held_by_its_teams_limit_takes_no_reservation():
+    result = plan(
+        [job("job-1", 8.0, waiting=2, team="u"), job("job-2", 8.0, estimate=1000.0)],
+        [machine("n-1"), machine("n-2")],
+    )
+    assert started(result) == [("job-1", "n-1"), ("job-2", "n-2")] and result.head is None
+    assert not result.unmet
+
+
+def test_like_tasks_are_refused_as_a_class():
+    machines = [machine("n-1", [running(4.0, estimate=5.0)])]
+    jobs = [job("job-1", 8.0)] + [job(f"job-{at}", 1.0, waiting=50, estimate=99.0) for at in range(2, 200)]
+    result = plan(jobs, machines)
+    assert not result.starts and result.checks == 1
+
+
+def test_a_higher_priority_is_not_held_back_by_a_lower_ones_reservation():
+    machines = [machine("n-1", [running(4.0, estimate=5.0)])]
+    result = plan([job("job-1", 8.0), job("job-2", 4.0, estimate=99.0, rank=2)], machines)
+    assert started(result) == [("job-2", "n-1")]
+
+
+def test_a_whole_job_starts_whole_or_not_at_all():
+    whole = {"whole": True}
+    assert not plan([job("job-1", 8.0, waiting=3, **whole)], [machine("n-1"), machine("n-2")]).starts
+    result = plan([job("job-1", 4.0, waiting=3, **whole)], [machine("n-1"), machine("n-2")])
+    assert len(result.starts) == 3
+
+
+jobs = st.lists(
+    st.builds(
+        job,
+        st.integers(1, 10**6).map("job-{}".format),
+        st.sampled_from([1.0, 3.0, 8.0]),
+        st.integers(1, 6),
+        st.sampled_from(["t", "u"]),
+        st.floats(0, 100),
+        st.integers(0, 3),
+        zone=st.sampled_from([None, "a", "b"]),
+        types=st.sampled_from([None, frozenset(["m"]), frozenset(["x"])]),
+        one_zone=st.booleans(),
+        spot=st.booleans(),
+    ),
+    max_size=8,
+    unique_by=lambda made: made.id,
+)
+machines = st.lists(
+    st.tuples(
+        st.sampled_from(["a", "b"]), st.booleans(), st.sampled_from([[], [4.0], [1.0, 1.0]]), st.booleans()
+    ),
+    max_size=6,
+)
+
+
+@given(jobs, machines)
+def test_no_plan_breaks_a_limit_or_a_place(jobs, shapes):
+    views = [
+        machine(f"n-{at}", [running(c) for c in held], zone=zone, spot=spot, open=open)
+        for at, (zone, spot, held, open) in enumerate(shapes)
+    ]
+    held = {view.name: sum(task.cpus for task in view.tasks) for view in views}
+    closed = {view.name for view in views if not view.open}
+    used = {"t": sum(held.values()), "u": 0.0}
+    by_name, by_id = {view.name: view for view in views}, {made.id: made for made in jobs}
+    result = plan(jobs, views)
+    assert len({(start.job, start.index) for start in result.starts}) == len(result.starts)
+    zones: dict[str, set[str]] = {}
+    for start in result.starts:
+        made, view = by_id[start.job], by_name[start.machine]
+        assert start.index in made.waiting and view.name not in closed
+        held[view.name] += made.cpus
+        used[made.team] += made.cpus
+        assert made.zone in (None, view.zone) and (made.spot or not view.spot)
+        assert made.types is None or view.type in made.types
+        zones.setdefault(made.id, set()).add(view.zone)
+        assert not made.one_zone or len(zones[made.id]) == 1
+    assert all(cpus <= 8.0 for cpus in held.values())
+    assert used["u"] <= 12.0 and (
+        used["t"] <= 64.0 or not any(by_id[s.job].team == "t" for s in result.starts)
+    )
+
+
+def test_the_clock_is_not_asked():
+    """Planning is a function of its snapshot: the same one gives the same plan."""
+
+    def once():
+        return plan([job("job-1", 2.0, waiting=5), job("job-2", 8.0)], [machine("n-1"), machine("n-2")])
+
+    assert once().starts == once().starts
--- /dev/null
+++ b/spindleglade/leadership/test_leadership.py
@@ -0,0 +1,94 @@
+"""Sibling messages, and elections under generated troubles."""
+
+import random
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from spindleglade.clock import seconds
+from spindleglade.leadership.links import Forward, Forwarded, Ping, Relay, Relayed, decode_message
+from tests.world import World
+
+numbers = st.integers(0, (1 << 63) - 1)
+messages = st.one_of(
+    st.builds(Ping, st.text(), numbers, st.booleans(), st.none() | numbers),
+    st.builds(Relay, numbers, st.binary()),
+    st.builds(Relayed, numbers, st.none() | st.binary()),
+    st.builds(Forward, numbers, st.text(), st.text(), st.binary()),
+    st.builds(Forwarded, numbers, st.integers(100, 599), st.none() | numbers, st.binary()),
+)
+
+
+@given(messages)
+def test_messages_come_back_as_they_were_sent(message):
+    assert decode_message(msgspec.msgpack.encode(message)) == message
+
+
+@given(st.binary(max_size=60))
+def test_garbage_is_refused(data):
+    try:
+        decode_message(data)
+    except msgspec.DecodeError:
+        return
+    # What decodes must be a message of ours to the byte.
+    assert data[:1] in (b"\x92", b"\x93", b"\x94", b"\x95", b"\x96")
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_leaders_follow_one_another_with_rising_tokens(seed):
+    """Kills, outages and lost leases: at no time do two nodes hold the leader key, a token is never given
+    twice, and a leader is there again once all is well."""
+    rng = random.Random(seed)
+    world = World(seed)
+    won: list[int] = []
+
+    def watch(node):
+        before = node.election._won
+
+        def note(term):
+            won.append(term.token)
+            before(term)
+
+        node.election._won = note
+
+    for node in world.nodes.values():
+        watch(node)
+    for _ in range(6):
+        world.run(seconds(rng.uniform(1, 5)))
+        trouble = rng.choice(["kill", "outage", "refuse"])
+        leader = world.leader()
+        if trouble == "kill" and leader is not None:
+            world.kill_node(leader)
+            world.run(seconds(rng.uniform(0.1, 5)))
+            world.start_node(leader)
+            watch(world.nodes[world.node_names[leader]])
+        elif trouble == "outage":
+            world.state.outage(seconds(rng.uniform(0.5, 6)))
+        elif leader is not None:
+            world.refused.add(world.node_names[leader])
+            world.run(seconds(rng.uniform(0.5, 6)))
+            world.refused.clear()
+    world.run(seconds(10))
+    assert won == sorted(set(won)) and len(won) >= 2
+    assert sum(node.leads for node in world.nodes.values()) == 1
+
+
+def test_a_deposed_leaders_writes_fail():
+    world = World(3)
+    world.run(seconds(3))
+    leader = world.leader()
+    node = world.nodes[world.node_names[leader]]
+    # Its lease ends unseen: it can neither renew nor watch, and still believes that it leads.
+    world.refused.add(world.node_names[leader])
+    world.cut(world.node_names[leader], world.node_names, False, seconds(9))
+    world.run(seconds(8))
+    assert node.leads and sum(other.leads for other in world.nodes.values()) == 2
+    job = world.submit(1, threads=2, run_s=1.0)
+    world.refused.clear()
+    world.run(seconds(15))
+    assert not node.leads and world.told[job] == "pending"
+    world.poll(job)
+    world.run(seconds(1))
+    assert world.told[job] == "done"
--- /dev/null
+++ b/spindleglade/store/test_store.py
@@ -0,0 +1,155 @@
+"""The replica under generated answers, and the budget."""
+
+from datetime import timedelta
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.defer import Deferred
+
+from spindleglade.clock import ManualClock, seconds
+from spindleglade.store.budget import Budget
+from spindleglade.store.client import Change, Entry, Listing, TooOld, Unavailable
+from spindleglade.store.replica import Replica, Unconfirmed
+
+OPS = st.lists(
+    st.tuples(st.sampled_from(["put", "remove"]), st.sampled_from("abc"), st.integers(0, 9)), max_size=30
+)
+
+
+class Store:
+    """What a correct service would hold and answer, change by change."""
+
+    def __init__(self, ops):
+        self.log, self.at = [], []
+        keys: dict[str, tuple[int, int]] = {}
+        for mark, (op, key, value) in enumerate(ops, 1):
+            if op == "put":
+                keys[key] = (value, mark)
+                self.log.append(Change(mark, put=key, value=msgspec.Raw(b"%d" % value)))
+            else:
+                keys.pop(key, None)
+                self.log.append(Change(mark, removed=key))
+            self.at.append(dict(keys))
+
+    def changes(self, since, turn):
+        return turn, [change for change in self.log if since < change.mark <= turn]
+
+
+class Idle:
+    """A client that is never asked."""
+
+
+def make(client=None):
+    clock = ManualClock()
+    replica = Replica(client or Idle(), clock, "", seconds(10), seconds(1))
+    held: dict[str, int] = {}
+
+    def listen(key, value, mark):
+        if value is None:
+            held.pop(key, None)
+        else:
+            held[key] = int(value)
+
+    replica.listen(listen)
+    return clock, replica, held
+
+
+@given(OPS, st.lists(st.tuples(st.integers(0, 30), st.integers(0, 30)), max_size=12))
+def test_overlapping_answers_leave_the_state_of_the_newest(ops, answers):
+    """Answers of the long watch and of catch-ups overlap and come late; each begins where the replica was
+    when it was asked for, and that is never later than where it is."""
+    store = Store(ops)
+    _, replica, held = make()
+    for back, ahead in answers:
+        since = max(0, replica.turn - back)
+        turn = min(len(store.log), since + ahead)
+        replica.apply(*store.changes(since, turn))
+        expected = store.at[replica.turn - 1] if replica.turn else {}
+        assert held == {key: value for key, (value, _) in expected.items()}
+        assert replica.marks == {key: mark for key, (_, mark) in expected.items()}
+
+
+class Scripted:
+    """Answers a listing or a watch when the test says so."""
+
+    def __init__(self):
+        self.asked: list[Deferred] = []
+
+    def _ask(self):
+        waiter = Deferred()
+        self.asked.append(waiter)
+        return waiter
+
+    def read_all(self, prefix):
+        return self._ask()
+
+    def watch(self, prefix, since, wait):
+        return self._ask()
+
+
+def loaded():
+    client = Scripted()
+    clock, replica, held = make(client)
+    replica.start()
+    client.asked.pop(0).callback(Listing([Entry("a", msgspec.Raw(b"1"), 3)], 5))
+    # The long watch is under way now.
+    client.asked.pop(0)
+    return client, clock, replica, held
+
+
+def test_a_proof_is_begun_after_the_question_and_shared():
+    client, _, replica, _ = loaded()
+    fired = []
+    replica.confirm().addCallback(lambda _: fired.append("first"))
+    # These came while a catch-up was under way, which may be older than they are.
+    replica.confirm().addCallback(lambda _: fired.append("second"))
+    replica.confirm().addCallback(lambda _: fired.append("third"))
+    assert len(client.asked) == 1
+    client.asked.pop(0).callback((6, []))
+    assert fired == ["first"]
+    assert len(client.asked) == 1
+    client.asked.pop(0).callback((6, []))
+    assert fired == ["first", "second", "third"] and not client.asked
+
+
+def test_without_the_store_nothing_is_confirmed():
+    client, _, replica, _ = loaded()
+    failed = []
+    before = replica.confirmed
+    replica.confirm().addErrback(lambda failure: failed.append(failure.check(Unconfirmed)))
+    client.asked.pop(0).errback(Unavailable("503"))
+    assert failed == [Unconfirmed] and replica.confirmed == before
+
+
+def test_a_replica_that_is_too_old_reads_all_again():
+    client = Scripted()
+    clock, replica, held = make(client)
+    replica.start()
+    client.asked.pop(0).callback(
+        Listing([Entry("a", msgspec.Raw(b"1"), 3), Entry("b", msgspec.Raw(b"2"), 4)], 5)
+    )
+    client.asked.pop(0).errback(TooOld())
+    client.asked.pop(0).callback(Listing([Entry("b", msgspec.Raw(b"7"), 20_000)], 20_000))
+    assert held == {"b": 7} and replica.turn == 20_000
+
+
+def test_one_listeners_trouble_does_not_end_the_watch():
+    client, _, replica, held = loaded()
+    replica.listen(lambda key, value, mark: 1 / 0)
+    replica.apply(9, [Change(9, put="c", value=msgspec.Raw(b"4"))])
+    assert held["c"] == 4 and replica.turn == 9
+
+
+@given(st.lists(st.tuples(st.floats(0, 2), st.integers(1, 5), st.booleans()), max_size=40))
+def test_no_more_than_the_share_is_used_over_time(spends):
+    clock = ManualClock()
+    budget = Budget(clock, 10.0, 10.0)
+    used, latest = 0.0, timedelta(0)
+    for pause, amount, urgent in spends:
+        clock.advance(seconds(pause))
+        if urgent:
+            continue
+        latest = max(latest, clock.now() + budget.reserve(amount))
+        used += amount
+    assert used <= 10.0 + 10.0 * latest.total_seconds() + 1e-6
--- a/tests/world.py
+++ b/tests/world.py
@@ -279,6 +279,9 @@
                 back(answer)
 
         def back(answer: Reply) -> None:
+            if target == "state" and source in self.refused and answer[0] == 200:
+                # The watches that a refused node has open wait as in an outage.
+                return
             self._pass(target, source, lambda: answered(answer))
 
         self._pass(source, target, arrive)
