--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -176,15 +176,16 @@
 
 
 class Planner:
-    def __init__(self, tau: float) -> None:
+    def __init__(self, tau: float, preempt: bool = False) -> None:
         self._tau = tau
+        self._preempt = preempt
 
     def plan(self, snapshot: Snapshot) -> Plan:
-        return _Round(snapshot, self._tau).run()
+        return _Round(snapshot, self._tau, self._preempt).run()
 
 
 class _Round:
-    def __init__(self, snapshot: Snapshot, tau: float) -> None:
+    def __init__(self, snapshot: Snapshot, tau: float, preempt: bool) -> None:
         self.plan = Plan()
         self.jobs = snapshot.jobs
         self.by_id = {job.id: job for job in snapshot.jobs}
@@ -192,6 +193,7 @@
         self.teams = snapshot.teams
         self.predictor = snapshot.predictor
         self.tau = tau
+        self.preempt = preempt
         # Every assignment not proven over counts, on closed machines too.
         self.used_cpus: dict[str, float] = {}
         self.used_gpus: dict[str, float] = {}
@@ -226,7 +228,8 @@
         for job in sorted(self.jobs, key=lambda job: -job.rank):
             if job.waiting:
                 self._place_job(job, refused, full)
-        # self._make_room()
+        if self.preempt:
+            self._make_room()
         self.plan.spare_cpus = sum(max(0.0, machine.free_cpus) for machine in self.machines)
         self.plan.used_cpus = self.used_cpus
         if self.plan.unmet:
--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -142,7 +142,7 @@
         )
         self._rounds = Rounds(
             ledger,
-            Planner(self._settings.backfill.tau),
+            Planner(self._settings.backfill.tau, self._settings.backfill.preempt),
             self._clock,
             self._compute,
             seconds(self._settings.backfill.round_s),
