--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -73,7 +73,7 @@
     list_s: Seconds = 4.0
     types_s: Seconds = 30.0
     # How long spot machines must have been short before ordinary ones are rented for work that may use both.
-    ordinary_wait_s: Seconds = 20.0
+    ordinary_wait_s: Seconds = 300.0
 
 
 class StoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
