--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -106,6 +106,7 @@
     used_cpus: dict[str, float],
     most: int,
     steady: bool = False,
+    overdue: frozenset[str] | None = None,
 ) -> list[tuple[Offer, int]]:
     rooms = list(booting)
     wanted: dict[Kind, int] = {}
@@ -122,7 +123,7 @@
             if not any(room.take(job) for room in rooms):
                 if sum(wanted.values()) >= most:
                     break
-                offer = _cheapest(job, offers, steady)
+                offer = _cheapest(job, offers, steady, overdue)
                 if offer is None:
                     break
                 wanted[offer.kind] = wanted.get(offer.kind, 0) + 1
@@ -140,15 +141,19 @@
     return [(by_kind[kind], count) for kind, count in wanted.items()]
 
 
-def _cheapest(job: JobView, offers: list[Offer], steady: bool) -> Offer | None:
+def _cheapest(
+    job: JobView, offers: list[Offer], steady: bool, overdue: frozenset[str] | None
+) -> Offer | None:
     """The least price for each CPU the job's tasks can use; among equals the smaller machine, which stands
     idle less, then the zone as given. `steady`: machines that are not taken back come first whatever they
-    cost."""
+    cost. With `overdue`, work that may use spot machines gets ordinary ones only if its job is in it."""
     best, best_score = None, None
     for offer in offers:
         fits = _per_machine(job, offer.type)
         if fits == 0 or not _suits(job, offer.type.name, offer.zone, offer.spot):
             continue
+        if overdue is not None and job.spot and not offer.spot and job.id not in overdue:
+            continue
         # Of a machine that the job's shape cannot fill, the rest may serve others: it counts half.
         filled = min(1.0, fits * job.cpus / offer.type.cpus)
         price = offer.price / (offer.type.cpus * (filled + 1) / 2)
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -57,9 +57,8 @@
         # counts, so it is taken to, except where being ready does.
         self._ready = ready
         self._idle = seconds(settings.idle_ready_s if ready else settings.idle_s)
-        # Since when spot machines alone have not met the demand, and since when no job has been open.
-        self._short_since: timedelta | None = None
-        self._calm_since: timedelta | None = None
+        # Since when each job has had tasks that found no room.
+        self._waiting_since: dict[str, timedelta] = {}
         self._silence = ledger.rules.lease + seconds(workers.silence_margin_s)
         # A machine that misses so many reports and does not answer either is given up before its lease ends.
         self._early = max(ledger.rules.report * workers.silent_reports, seconds(4))
@@ -91,6 +90,10 @@
         self._unmet = plan.unmet
         self._spare, self._used = plan.spare_cpus, plan.used_cpus
         self._freeing = plan.freeing
+        now = self._clock.now()
+        self._waiting_since = {
+            entry.job.id: self._waiting_since.get(entry.job.id, now) for entry in plan.unmet
+        }
 
     async def _run(self) -> None:
         while not self._stopped:
@@ -147,8 +150,6 @@
         return offers
 
     def _rent(self, now: timedelta) -> None:
-        if not self._unmet:
-            self._short_since = None
         if len(self._asking) >= 4:
             return
         rooms = [
@@ -175,10 +176,9 @@
             used,
             MOST_RENTED,
             steady=self._ready,
+            overdue=self._overdue(now),
         )
-        if not self._ready:
-            wanted = self._wait_for_spot(wanted, now)
-        elif not wanted:
+        if self._ready and not wanted:
             wanted = self._hold(now)
         for offer, count in wanted:
             self._asked += 1
@@ -209,17 +209,14 @@
         offer = min(offers, key=lambda offer: (offer.spot, offer.price / offer.type.cpus))
         return [(offer, min(MOST_RENTED, math.ceil(missing / offer.type.cpus)))]
 
-    def _wait_for_spot(self, wanted: list[tuple[Offer, int]], now: timedelta) -> list[tuple[Offer, int]]:
-        """Ordinary machines cost several times as much, so where money counts they are rented for work that
-        could use spot ones only once those have been short for a while."""
-        if all(offer.spot for offer, _ in wanted):
-            return wanted
-        if self._short_since is None:
-            self._short_since = now
-        if now - self._short_since >= seconds(self._settings.ordinary_wait_s):
-            return wanted
-        strict = [entry for entry in self._unmet if not entry.job.spot]
-        return [(offer, count) for offer, count in wanted if offer.spot or strict]
+    def _overdue(self, now: timedelta) -> frozenset[str] | None:
+        """Ordinary machines cost several times as much, so where money counts, work that could use spot ones
+        gets them only once it has waited long. Told by the job: while spot machines are all in use there is
+        always some demand, and renting for that would buy little at a high price."""
+        if self._ready:
+            return None
+        wait = seconds(self._settings.ordinary_wait_s)
+        return frozenset(job for job, since in self._waiting_since.items() if now - since >= wait)
 
     async def _ask(self, rent: Rent, kind: MachineType) -> None:
         key: Kind = (rent.type, rent.zone, rent.spot)
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -13,8 +13,8 @@
 TEAMS = {"t": Team("t", 8.0, 64.0)}
 
 
-def rent(unmet, booting=(), offers=OFFERS, used=0.0, steady=False):
-    found = rentals(unmet, list(booting), offers, TEAMS, {"t": used}, 50, steady)
+def rent(unmet, booting=(), offers=OFFERS, used=0.0, steady=False, overdue=None):
+    found = rentals(unmet, list(booting), offers, TEAMS, {"t": used}, 50, steady, overdue)
     return [(offer.type.name, offer.spot, count) for offer, count in found]
 
 
@@ -61,3 +61,14 @@
     refusals.granted(kind)
     refusals.refused(kind, seconds(30))
     assert refusals.open(kind, seconds(34))
+
+
+def test_ordinary_machines_are_rented_only_for_jobs_that_waited_long():
+    """While spot machines are all in use there is always some demand; a clock on the demand as a whole once
+    rented eight ordinary machines at the end of a quiet day."""
+    ordinary = [offer for offer in OFFERS if not offer.spot]
+    unmet = [Unmet(job("job-1", 8.0), 1, False), Unmet(job("job-2", 8.0), 1, False)]
+    assert rent(unmet, offers=ordinary, overdue=frozenset()) == []
+    assert rent(unmet, offers=ordinary, overdue=frozenset(["job-2"])) == [("s", False, 1)]
+    strict = [Unmet(job("job-1", 8.0, spot=False), 1, False)]
+    assert rent(strict, offers=ordinary, overdue=frozenset()) == [("s", False, 1)]
--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -72,7 +72,7 @@
     refused_most_s: Seconds = 30.0
     list_s: Seconds = 4.0
     types_s: Seconds = 30.0
-    # How long spot machines must have been short before ordinary ones are rented for work that may use both.
+    # How long a job must have waited before ordinary machines are rented for it though it may use spot ones.
     ordinary_wait_s: Seconds = 300.0
 
 
