--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -56,7 +56,6 @@
         # Whether an aim of the deployment says how soon work starts. The settings do not say whether money
         # counts, so it is taken to, except where being ready does.
         self._ready = ready
-        self._idle = seconds(settings.idle_ready_s if ready else settings.idle_s)
         # Since when each job has had tasks that found no room.
         self._waiting_since: dict[str, timedelta] = {}
         self._silence = ledger.rules.lease + seconds(workers.silence_margin_s)
@@ -258,6 +257,10 @@
     def _give_back(self, now: timedelta) -> None:
         names: dict[str, str] = {}
         extra = -self._missing_cpus() if self._ready else math.inf
+        with self._ledger.lock:
+            working = any(job.open for job in self._ledger.jobs.values())
+        # While there is work, a machine kept up is also a warm image cache.
+        patience = seconds(self._settings.idle_ready_s if self._ready and working else self._settings.idle_s)
         with self._ledger.lock:
             for machine in self._ledger.machines.values():
                 if machine.name in self._releasing:
@@ -281,7 +284,7 @@
                 elif (
                     machine.idle_since is not None
                     and not machine.placed
-                    and now - machine.idle_since > self._idle
+                    and now - machine.idle_since > patience
                 ):
                     cpus = self._ledger.kinds[machine.type].cpus if machine.type in self._ledger.kinds else 0
                     if cpus <= extra:
--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -59,9 +59,9 @@
 
 class FleetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     # How long a machine may stand idle before it is given back; the second where an aim of the deployment
-    # says how soon work has to start.
+    # says how soon work has to start, while there is work at all.
     idle_s: Seconds = 15.0
-    idle_ready_s: Seconds = 50.0
+    idle_ready_s: Seconds = 300.0
     # Share of the teams' unused guarantees for which machines are kept up, where an aim says how soon work
     # has to start.
     hold_guarantees: Annotated[float, msgspec.Meta(ge=0, le=10)] = 1.0
