--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -122,7 +122,7 @@
         self._stand_back = timedelta(0)
         self.reign: Reign | None = None
         self.replica.listen(self._job_changed)
-        self.links = connect(self._hello, self._relayed, self._forwarded, self._saw)
+        self.links = connect(self._hello, self._relayed, self._forwarded, self._saw, self.election.suspect)
         self.users = UserApi(
             self.client, self.replica, self.views, platform.teams, self.types.shapes, self._forward
         )
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -45,6 +45,7 @@
         http: Requester,
         ready: bool,
         changed: Callable[[], None],
+        greet: Callable[[str, int], None],
     ) -> None:
         self._ledger = ledger
         self._cloud = cloud
@@ -63,6 +64,8 @@
         self._early = max(ledger.rules.report * workers.silent_reports, seconds(4))
         self._http = http
         self._changed = changed
+        self._greet = greet
+        self._greeted: set[str] = set()
         self._refusals = Refusals(seconds(settings.refused_s), seconds(settings.refused_most_s))
         self._booting: dict[str, Booting] = {}
         # Rented machines that never reported and were given up.
@@ -337,9 +340,18 @@
         failed: dict[str, str] = {}
         with self._ledger.lock:
             known, gone = set(self._ledger.machines), set(self._ledger.gone)
+            proven = {machine.name for machine in self._ledger.machines.values() if machine.proven}
+            sessions = {
+                machine.name: max(assignment.session for assignment in machine.placed.values())
+                for machine in self._ledger.machines.values()
+                if machine.placed
+            }
         for machine in listed:
             if machine.name in self._releasing:
                 continue
+            if machine.stage == "running" and machine.name not in (self._greeted | proven | gone):
+                self._greeted.add(machine.name)
+                self._greet(machine.address, sessions.get(machine.name, 1))
             if machine.stage == "failed" and machine.name not in gone:
                 failed[machine.name] = "failed"
                 self._booting.pop(machine.name, None)
--- a/spindleglade/leadership/election.py
+++ b/spindleglade/leadership/election.py
@@ -79,6 +79,7 @@
         self.term: Term | None = None
         self.leader: LeaderRecord | None = None
         self._token = 0
+        self._suspected: int | None = None
         self._campaigning = False
         # The highest token seen anywhere: in the store, from siblings, in workers' reports.
         self.highest = 0
@@ -145,9 +146,19 @@
             # only this node is refused its writes fail by their condition.
             log.info("lease not renewed reason=%s", error)
 
+    def suspect(self, node: str) -> None:
+        """The node's process seems to have ended. If it leads, its key is taken over without waiting for the
+        lease: the transaction is conditional on the key's mark, and so is every write of the leader before
+        us, so a mistake costs a change of leader and nothing else."""
+        if self.leader is not None and self.leader.node == node and self.term is None:
+            self._suspected = self.leader.token
+            spawn(self._campaign(), "campaign")
+
     def _vacant(self) -> bool:
         # A key under our own name that we do not hold is left from this node's previous life.
-        return self._replica.loaded and (self.leader is None or self.leader.node == self._node)
+        return self._replica.loaded and (
+            self.leader is None or self.leader.node == self._node or self.leader.token == self._suspected
+        )
 
     async def _campaign(self) -> None:
         if self._campaigning or self.term is not None or not self._vacant() or not self._may_campaign():
--- a/spindleglade/leadership/links.py
+++ b/spindleglade/leadership/links.py
@@ -12,6 +12,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import Factory
 from twisted.protocols.basic import Int32StringReceiver
 
@@ -118,10 +119,14 @@
         self._connection: _Connection | None = None
         self._waiting: dict[int, Deferred[Any]] = {}
         self._number = 0
+        self._waker: Deferred[None] | None = None
         self.sibling = sibling
         self.heard: timedelta | None = None
         self.state: Ping | None = None
         self.saw: Callable[[Ping], None] = lambda ping: None
+        # Told when the sibling's process seems to have ended: its end closed the link, and its port refuses.
+        self.ended: Callable[[str], None] = lambda name: None
+        self._closed: timedelta | None = None
 
     @property
     def up(self) -> bool:
@@ -141,21 +146,41 @@
                 await self._connect(host, port)
             except Exception as error:
                 log.debug("no link sibling=%s reason=%s", self.sibling.name, error)
+                closed, self._closed = self._closed, None
+                if (
+                    isinstance(error, ConnectionRefusedError)
+                    and closed is not None
+                    and self._clock.now() - closed < self._ping * 2
+                ):
+                    self.ended(self.sibling.name)
                 await sleep(self._clock, self._ping)
                 continue
             self.heard = self._clock.now()
             while self._connection is not None:
                 self._connection.send(self._hello())
-                await sleep(self._clock, self._ping)
+                await self._pause()
                 if self._connection is not None and not self.up:
                     self._connection.transport.abortConnection()
                     self._down()
 
+    async def _pause(self) -> None:
+        """Until the next ping, or until the link is lost."""
+        self._waker = Deferred()
+        timer = self._clock.later(self._ping, self._wake)
+        await self._waker
+        if timer.active():
+            timer.cancel()
+
+    def _wake(self) -> None:
+        if self._waker is not None and not self._waker.called:
+            self._waker.callback(None)
+
     async def _connect(self, host: str, port: int) -> None:
         made: list[_Connection] = []
 
         def lost() -> None:
             if made and self._connection is made[0]:
+                self._closed = self._clock.now()
                 self._down()
 
         factory = Factory.forProtocol(lambda: _Connection(self._received, lost))
@@ -172,6 +197,7 @@
         waiting, self._waiting = self._waiting, {}
         for waiter in waiting.values():
             waiter.errback(LinkDown(self.sibling.name))
+        self._wake()
 
     def _received(self, connection: _Connection, message: Message) -> None:
         self.heard = self._clock.now()
@@ -230,6 +256,7 @@
         relay: Callable[[bytes], Awaitable[bytes | None]],
         forward: Callable[[str, str, bytes], Awaitable[Any]],
         saw: Callable[[Ping], None],
+        ended: Callable[[str], None],
     ) -> None:
         self._hello = hello
         self._relay = relay
@@ -238,6 +265,7 @@
         self.links = [Link(reactor, clock, sibling, ping, hello) for sibling in siblings]
         for link in self.links:
             link.saw = saw
+            link.ended = ended
 
     def start(self) -> None:
         for link in self.links:
--- a/spindleglade/leadership/test_leadership.py
+++ b/spindleglade/leadership/test_leadership.py
@@ -92,3 +92,30 @@
     world.poll(job)
     world.run(seconds(1))
     assert world.told[job] == "done"
+
+
+def test_a_leader_whose_process_ended_is_replaced_before_its_lease_ends():
+    world = World(5)
+    world.run(seconds(3))
+    leader = world.leader()
+    name = world.node_names[leader]
+    world.kill_node(leader)
+    for node in world.nodes.values():
+        node.election.suspect(name)
+    world.run(seconds(0.5))
+    assert world.leader() not in (None, leader)
+
+
+def test_a_leader_suspected_by_mistake_only_loses_its_office():
+    world = World(5)
+    world.run(seconds(3))
+    leader = world.leader()
+    job = world.submit(1, threads=3, run_s=3.0)
+    world.run(seconds(4))
+    other = world.nodes[world.node_names[(leader + 1) % 3]]
+    other.election.suspect(world.node_names[leader])
+    world.run(seconds(20))
+    assert sum(node.leads for node in world.nodes.values()) == 1
+    world.poll(job)
+    world.run(seconds(1))
+    assert world.told[job] == "done"
--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -139,6 +139,7 @@
             self._http,
             self._platform.wants("wait"),
             self._changed,
+            self._dispatcher.greet,
         )
         self._rounds = Rounds(
             ledger,
--- a/spindleglade/workers/dispatch.py
+++ b/spindleglade/workers/dispatch.py
@@ -8,9 +8,9 @@
 
 from spindleglade.clock import Clock
 from spindleglade.tasks import spawn
-from spindleglade.web import NoAnswer, NotSent, Requester
+from spindleglade.web import NoAnswer, NotSent, Requester, Response
 from spindleglade.workers.ledger import Deposed, Ledger, Machine
-from spindleglade.workers.messages import Order, Orders, decode_report
+from spindleglade.workers.messages import Order, Orders, Report, decode_report
 
 log = logging.getLogger("spindleglade.workers")
 
@@ -42,6 +42,26 @@
         for machine, session, orders in self._ledger.to_send(self._clock.now()):
             spawn(self._send(machine, session, orders), "send")
 
+    def greet(self, address: str, session: int) -> None:
+        """Tells a machine of the new token and hears what runs there. Nothing may be ordered before, and its
+        next report may be seconds away."""
+        if not self._stopped:
+            spawn(self._greet(address, session), "greeting")
+
+    async def _greet(self, address: str, session: int) -> None:
+        for _ in range(2):
+            body = msgspec.json.encode(Orders(self._ledger.token, session, []))
+            try:
+                answer = await self._http.request("POST", address, "/orders", body, self._timeout)
+            except NoAnswer as error:
+                log.info("greeting unanswered address=%s reason=%s", address, error)
+                return
+            report = self._take(answer, address)
+            # A machine that has lost a lease since is in a later session, and says so.
+            if report is None or answer.status == 200 or report.session == session:
+                return
+            session = report.session
+
     async def _send(self, machine: Machine, session: int, orders: list[Order]) -> None:
         body = msgspec.json.encode(Orders(self._ledger.token, session, orders))
         unsure, answer = False, None
@@ -56,14 +76,21 @@
         if answer is not None and answer.status not in (200, 400, 409):
             unsure = True
         self._ledger.sent(machine, orders, unsure, self._clock.now())
-        if answer is None or answer.status not in (200, 409) or self._stopped:
-            return
+        if answer is not None:
+            self._take(answer, machine.address)
+
+    def _take(self, answer: Response, address: str) -> Report | None:
+        """The report that an answer carries."""
+        if answer.status not in (200, 409) or self._stopped:
+            return None
         try:
-            self._ledger.report(decode_report(answer.body), self._clock.now(), asked=False)
+            report = decode_report(answer.body)
+            self._ledger.report(report, self._clock.now(), asked=False)
         except msgspec.DecodeError as error:
-            log.warning("answer not understood machine=%s reason=%s", machine.name, error)
-            return
+            log.warning("answer not understood address=%s reason=%s", address, error)
+            return None
         except Deposed as error:
             self._deposed(str(error))
-            return
+            return None
         self._changed()
+        return report
--- a/tests/world.py
+++ b/tests/world.py
@@ -216,7 +216,7 @@
         life = LifeClock(self.clock)
         self.lives[name] = life
 
-        def connect(hello: Any, relay: Any, forward: Any, saw: Any) -> SimLinks:
+        def connect(hello: Any, relay: Any, forward: Any, saw: Any, ended: Any) -> SimLinks:
             return SimLinks(self, name, hello, saw)
 
         async def compute(work: Any, *args: Any) -> Any:
