--- a/spindleglade/backfill/test_planner.py
+++ b/spindleglade/backfill/test_planner.py
@@ -49,9 +49,9 @@
     )
 
 
-def plan(jobs, machines, tau=0.05, predictor=None):
+def plan(jobs, machines, tau=0.05, predictor=None, preempt=False):
     predictor = predictor or Predictor(Bins(seconds(1), 1.8), 3, 100)
-    return Planner(tau).plan(Snapshot(jobs, machines, TEAMS, predictor))
+    return Planner(tau, preempt).plan(Snapshot(jobs, machines, TEAMS, predictor))
 
 
 def started(result):
@@ -180,3 +180,36 @@
         return plan([job("job-1", 2.0, waiting=5), job("job-2", 8.0)], [machine("n-1"), machine("n-2")])
 
     assert once().starts == once().starts
+
+
+def stopped(result):
+    return [(stop.machine, stop.claimant) for stop in result.stops]
+
+
+def test_running_work_is_stopped_only_where_it_is_switched_on():
+    def views():
+        return [machine("n-1", [running(8.0, rank=1)])]
+
+    high = job("job-1", 4.0, rank=2)
+    assert not plan([high], views()).stops
+    assert stopped(plan([job("job-1", 4.0, rank=2)], views(), preempt=True)) == [("n-1", "job-1")]
+    assert not plan([job("job-1", 4.0, rank=1)], views(), preempt=True).stops
+
+
+def test_work_within_a_guarantee_is_not_stopped_by_a_priority_beyond_one():
+    """Taken each for itself, the two reasons for stopping work let a high priority beyond its guarantee and a
+    normal one within it stop each other for ever; whole days were lost to it."""
+    within = [machine("n-1", [running(8.0, team="u")])]
+    beyond = [machine("n-2", [running(8.0)], zone="b"), machine("n-3", [running(8.0)], zone="b")]
+    high = job("job-1", 4.0, rank=3, zone="a")
+    assert not plan([high], within + beyond, preempt=True).stops
+    # The other way round: a guarantee takes from work beyond one, whatever its priority.
+    far = [machine(f"n-{at}", [running(8.0, rank=3)]) for at in range(4)]
+    assert len(stopped(plan([job("job-1", 4.0, team="u", rank=0)], far, preempt=True))) == 1
+
+
+def test_room_made_for_a_job_is_held_for_it():
+    view = machine("n-1", [running(4.0, estimate=5.0)])
+    view.claims["job-1"] = 1
+    result = plan([job("job-1", 8.0, rank=2), job("job-2", 2.0, estimate=1.0)], [view])
+    assert not result.starts
--- a/spindleglade/workers/test_ledger.py
+++ b/spindleglade/workers/test_ledger.py
@@ -201,6 +201,20 @@
     assert book.report(("job-1/0", 1, "running")) is None
 
 
+def test_a_vouched_machine_is_not_silent():
+    """Behind a cut between zones a sibling kept its zone's workers alive, and the leader would have released
+    them all after one lease."""
+    book = Book().running()
+    machine = book.ledger.machines["n-1"]
+    book.now += seconds(20)
+    assert book.ledger.silent(machine, book.now, seconds(11))
+    book.ledger.vouch(["n-1", "n-unknown"], book.now)
+    assert not book.ledger.silent(machine, book.now + seconds(10), seconds(11))
+    assert book.ledger.silent(machine, book.now + seconds(12), seconds(11))
+    # It counts as alive, but nothing new is placed on it.
+    assert not book.ledger.usable(machine, book.now)
+
+
 def test_attempt_numbers_never_repeat():
     book = Book().running()
     book.report(("job-1/0", 1, "exited", "halted"))
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -146,3 +146,67 @@
         world.poll(job)
     world.run(seconds(1))
     assert [world.told[job] for job in jobs] == ["done"] * 3
+
+
+def busy_world(seed):
+    """A world with one long task running, its machine's address and the leader's index."""
+    world = World(seed)
+    world.run(seconds(3))
+    world.submit(1, threads=1, run_s=40.0)
+    while not world.started and world.clock.now() < seconds(60):
+        world.run(seconds(1))
+    world.run(seconds(3))
+    (machine,) = [name for names in world.on.values() for name in names]
+    return world, world.workers[machine].machine.address, world.leader()
+
+
+def test_a_leader_cut_off_from_all_but_the_store_makes_room():
+    """It used to lead on, and would have released every machine once their leases had passed."""
+    world, machine, leader = busy_world(11)
+    everyone = [worker.machine.address for worker in world.workers.values()] + world.node_names
+    world.cut(world.node_names[leader], everyone, False, seconds(15))
+    world.run(seconds(12))
+    assert world.leader() not in (None, leader)
+    world.run(seconds(40))
+    assert world.started == 1 and len(world.completed) == 1
+
+
+def test_a_task_behind_a_cut_with_one_node_runs_on():
+    """That node cannot reach the leader; it renews the lease itself and vouches through the store."""
+    world, machine, leader = busy_world(12)
+    near = world.node_names[(leader + 1) % 3]
+    others = [name for name in world.node_names if name != near]
+    world.workers[machine.partition(":")[0]].at = (leader + 1) % 3
+    world.run(seconds(3))
+    world.cut(near, others, False, seconds(15))
+    world.cut(machine, others, False, seconds(15))
+    world.run(seconds(60))
+    assert world.started == 1 and len(world.completed) == 1
+    world.poll("job-000001")
+    world.run(seconds(1))
+    assert world.told["job-000001"] == "done"
+
+
+def test_leases_outlive_an_outage_of_the_store():
+    world, machine, leader = busy_world(13)
+    world.state.outage(seconds(10))
+    world.run(seconds(60))
+    assert world.started == 1 and len(world.completed) == 1
+
+
+def test_a_cancellation_ends_work_behind_a_cut_in_time():
+    """The node beside the task is cut off from the store as well and cannot know of the abort; its renewals
+    must end early enough for the lease to run out within `cancel_s`."""
+    world, machine, leader = busy_world(14)
+    near = world.node_names[(leader + 1) % 3]
+    others = [name for name in world.node_names if name != near]
+    world.workers[machine.partition(":")[0]].at = (leader + 1) % 3
+    world.run(seconds(3))
+    world.cut(near, [*others, "state"], False, seconds(60))
+    world.cut(machine, others, False, seconds(60))
+    world.cloud.trouble = True
+    world.run(seconds(1))
+    world.abort("job-000001")
+    # World.run fails if the task is still on its machine after `cancel_s`.
+    world.run(seconds(40))
+    assert "job-000001" in world.aborted_at
