Large jobs: transactions and messages stay within the service's sizes

Found by reading the protocol against the code: eleven full chunks exceed the 64 KiB of a transaction, whose refusal would have repeated for ever, and the starts of thousands of small tasks exceed a line.

--- a/spindleglade/workers/ledger.py
+++ b/spindleglade/workers/ledger.py
@@ -31,6 +31,8 @@
 WAITING, PLACED, DONE = 0, 1, 2
 _WAITING_BYTE = bytes([WAITING])
 FOREVER = 1 << 62
+# Orders in one message: a line may not be longer than 64 KiB, and a task's name may take a hundred bytes.
+MOST_ORDERS = 400
 
 
 def _estimate(spec: Submission) -> timedelta:
@@ -408,10 +410,6 @@
 
     def _new_session(self, machine: Machine, session: int) -> None:
         """The worker let its lease run out and killed and forgot all it had."""
-        if machine.placed:
-            log.info(
-                "session ended machine=%s session=%d lost=%d", machine.name, session, len(machine.placed)
-            )
         for assignment in list(machine.placed.values()):
             if assignment.session < session:
                 self._over(assignment, "its session ended")
@@ -610,6 +608,21 @@
     def _orders(self, machine: Machine, now: timedelta, tally: int | None) -> list[Order]:
         """What to tell the machine now. `tally` is that of the report being answered, None for a message of
         our own; starts already under way one way are not sent another."""
+        orders = self._pending_orders(machine)
+        for assignment in machine.placed.values():
+            if len(orders) >= MOST_ORDERS:
+                break
+            if not self._may_start(machine, assignment):
+                continue
+            orders.append(Order("start", assignment.task, assignment.attempt))
+            if tally is None:
+                assignment.sending += 1
+            else:
+                assignment.answered = tally
+        return orders
+
+    def _pending_orders(self, machine: Machine) -> list[Order]:
+        """Clears and stops; what does not fit is told the next time."""
         orders: list[Order] = []
         if machine.proven:
             for (task, attempt), lying in machine.lying.items():
@@ -620,26 +633,28 @@
                 if stage != "saving":
                     orders.append(Order("stop", task, attempt, 0.0))
         for assignment in machine.placed.values():
-            if assignment.session != machine.session:
-                continue
-            if assignment.stop is not None:
-                if assignment.seen and not (assignment.stage == "saving" and assignment.slack > 0):
-                    orders.append(Order("stop", assignment.task, assignment.attempt, assignment.slack))
-            elif (
-                machine.proven
-                and not assignment.seen
-                and not assignment.sending
-                and assignment.answered is None
-                and assignment.recorded
-                and assignment.job.open
-                and not machine.releasing
+            if (
+                assignment.session == machine.session
+                and assignment.stop is not None
+                and assignment.seen
+                and not (assignment.stage == "saving" and assignment.slack > 0)
             ):
-                orders.append(Order("start", assignment.task, assignment.attempt))
-                if tally is None:
-                    assignment.sending += 1
-                else:
-                    assignment.answered = tally
-        return orders
+                orders.append(Order("stop", assignment.task, assignment.attempt, assignment.slack))
+        return orders[:MOST_ORDERS]
+
+    @staticmethod
+    def _may_start(machine: Machine, assignment: Assignment) -> bool:
+        return (
+            machine.proven
+            and not machine.releasing
+            and assignment.session == machine.session
+            and assignment.stop is None
+            and not assignment.seen
+            and not assignment.sending
+            and assignment.answered is None
+            and assignment.recorded
+            and assignment.job.open
+        )
 
     def to_send(self, now: timedelta) -> list[tuple[Machine, int, list[Order]]]:
         """Orders to send straight to machines: those that bear no waiting for the next report."""
--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -30,6 +30,9 @@
 
 log = logging.getLogger("spindleglade.workers")
 
+# Of the 64 KiB a transaction may have, what its values may take; the rest is for keys and conditions.
+MOST_BYTES = 40 * 1024
+
 
 class Recorder:
     def __init__(
@@ -77,6 +80,7 @@
                     self._idle = Deferred()
                     await self._idle
                 continue
+            self._fit(batch)
             try:
                 result = await self._write(batch)
             except (Unavailable, Unknown) as error:
@@ -96,6 +100,21 @@
                 self._ledger.put_back(batch)
                 await self._reread(result)
 
+    def _fit(self, batch: Batch) -> None:
+        """Puts back what would make the transaction larger than the service takes: eleven full chunks of a
+        large job are twice as much, and the refusal would repeat for ever."""
+        size, kept = 0, 0
+        for _, _, _, _, chunk in batch.chunks:
+            size += len(raw(chunk))
+            if kept and size > MOST_BYTES:
+                break
+            kept += 1
+        back = Batch(chunks=batch.chunks[kept:])
+        batch.chunks = batch.chunks[:kept]
+        if size > MOST_BYTES // 2 and batch.done:
+            back.done, batch.done = batch.done, []
+        self._ledger.put_back(back)
+
     async def _write(self, batch: Batch) -> Committed | Refused:
         when = {LEADER: self._term.mark}
         writes: list[Put | Delete] = []
--- a/spindleglade/workers/test_ledger.py
+++ b/spindleglade/workers/test_ledger.py
@@ -226,6 +226,22 @@
     assert successor.ledger.jobs["job-1"].placed[0].attempt == 2
 
 
+def test_a_message_holds_only_as_many_orders_as_a_line_may():
+    book = Book()
+    book.ledger.teams = {}
+    book.ledger.take_job(JobRecord("open", spec("job-2", 1000), 256), 2)
+    book.report()
+    book.ledger.apply(Plan(starts=[Start("job-2", at, "n-1") for at in range(1000)]), book.now)
+    book.record()
+    told: list[Order] = []
+    sizes = []
+    for _ in range(4):
+        orders = book.report(*[(order.task, order.attempt, "pulling") for order in told])
+        sizes.append(len(orders))
+        told += orders
+    assert sizes == [400, 400, 200, 0] and len({order.task for order in told}) == 1000
+
+
 def test_an_abort_stops_what_runs_and_starts_nothing_more():
     book = Book().running()
     book.place(1)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -99,6 +99,8 @@
         parts = urlsplit(path)
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
         if parts.path == "/txn":
+            if len(body) > 64 * 1024:
+                return reply(400, {"error": "too large"})
             return self._txn(decode(body))
         if parts.path == "/watch":
             return self._watch(query)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -210,3 +210,13 @@
     # World.run fails if the task is still on its machine after `cancel_s`.
     world.run(seconds(40))
     assert "job-000001" in world.aborted_at
+
+
+def test_the_largest_job_is_taken_started_and_aborted():
+    world = World(16)
+    job = world.submit(1, threads=100_000, vcpus=1.0, mem_gb=1.0, run_s=2.0)
+    world.run(seconds(25))
+    assert world.told[job] == "pending" and world.started > 20
+    world.abort(job)
+    world.run(seconds(25))
+    assert world.told[job] == "aborted" and not any(world.on.values())
