Teams within their guarantee take back what others run beyond theirs

Cause: with stopping off a guarantee could only wait for what borrowers leave. Stopping for priorities stays off.

--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -176,7 +176,7 @@
 
 
 class Planner:
-    def __init__(self, tau: float, preempt: bool = False) -> None:
+    def __init__(self, tau: float, preempt: str = "none") -> None:
         self._tau = tau
         self._preempt = preempt
 
@@ -185,7 +185,7 @@
 
 
 class _Round:
-    def __init__(self, snapshot: Snapshot, tau: float, preempt: bool) -> None:
+    def __init__(self, snapshot: Snapshot, tau: float, preempt: str) -> None:
         self.plan = Plan()
         self.jobs = snapshot.jobs
         self.by_id = {job.id: job for job in snapshot.jobs}
@@ -228,7 +228,7 @@
         for job in sorted(self.jobs, key=lambda job: -job.rank):
             if job.waiting:
                 self._place_job(job, refused, full)
-        if self.preempt:
+        if self.preempt != "none":
             self._make_room()
         self.plan.spare_cpus = sum(max(0.0, machine.free_cpus) for machine in self.machines)
         self.plan.used_cpus = self.used_cpus
@@ -442,7 +442,8 @@
 
     def _make_room(self) -> None:
         """Stops running work for waiting work that the protocol puts above it."""
-        wanting = [unmet for unmet in self.plan.unmet if unmet.guaranteed or unmet.job.rank > 0]
+        every = self.preempt == "all"
+        wanting = [unmet for unmet in self.plan.unmet if unmet.guaranteed or (every and unmet.job.rank > 0)]
         wanting.sort(key=lambda unmet: (not unmet.guaranteed, -unmet.job.rank))
         for unmet in wanting:
             job = unmet.job
@@ -457,12 +458,14 @@
         priority beyond its guarantee and a normal one within would stop each other for ever."""
         team = self.teams.get(victim.team)
         if team is None:
-            return True
+            return self.preempt == "all"
         used = self.used_cpus.get(victim.team, 0.0) - freed.get(victim.team, 0.0)
         beyond = used - victim.cpus >= team.cpus - _EPS
-        if beyond == (not guaranteed) or (victim.team == job.team):
-            return victim.rank < job.rank
-        return beyond
+        if guaranteed and beyond and victim.team != job.team:
+            return True
+        if self.preempt != "all" or (beyond != (not guaranteed) and victim.team != job.team):
+            return False
+        return victim.rank < job.rank
 
     def _stop_for(self, job: JobView) -> bool:
         guaranteed = self._within(job, guarantee=True)
--- a/spindleglade/backfill/test_planner.py
+++ b/spindleglade/backfill/test_planner.py
@@ -49,7 +49,7 @@
     )
 
 
-def plan(jobs, machines, tau=0.05, predictor=None, preempt=False):
+def plan(jobs, machines, tau=0.05, predictor=None, preempt="none"):
     predictor = predictor or Predictor(Bins(seconds(1), 1.8), 3, 100)
     return Planner(tau, preempt).plan(Snapshot(jobs, machines, TEAMS, predictor))
 
@@ -192,8 +192,8 @@
 
     high = job("job-1", 4.0, rank=2)
     assert not plan([high], views()).stops
-    assert stopped(plan([job("job-1", 4.0, rank=2)], views(), preempt=True)) == [("n-1", "job-1")]
-    assert not plan([job("job-1", 4.0, rank=1)], views(), preempt=True).stops
+    assert stopped(plan([job("job-1", 4.0, rank=2)], views(), preempt="all")) == [("n-1", "job-1")]
+    assert not plan([job("job-1", 4.0, rank=1)], views(), preempt="all").stops
 
 
 def test_work_within_a_guarantee_is_not_stopped_by_a_priority_beyond_one():
@@ -202,10 +202,15 @@
     within = [machine("n-1", [running(8.0, team="u")])]
     beyond = [machine("n-2", [running(8.0)], zone="b"), machine("n-3", [running(8.0)], zone="b")]
     high = job("job-1", 4.0, rank=3, zone="a")
-    assert not plan([high], within + beyond, preempt=True).stops
+    assert not plan([high], within + beyond, preempt="all").stops
     # The other way round: a guarantee takes from work beyond one, whatever its priority.
     far = [machine(f"n-{at}", [running(8.0, rank=3)]) for at in range(4)]
-    assert len(stopped(plan([job("job-1", 4.0, team="u", rank=0)], far, preempt=True))) == 1
+    claim = [job("job-1", 4.0, team="u", rank=0)]
+    assert len(stopped(plan(claim, far, preempt="guarantees"))) == 1
+    # What a team runs within its own guarantee is not taken, nor is work for a priority alone.
+    near = [machine(f"n-{at}", [running(8.0, rank=0)]) for at in range(2)]
+    assert not plan([job("job-1", 4.0, team="u", rank=3)], near, preempt="guarantees").stops
+    assert not plan([job("job-1", 4.0, rank=3)], far, preempt="guarantees").stops
 
 
 def test_room_made_for_a_job_is_held_for_it():
--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -33,8 +33,8 @@
     history_kept: Count = 2000
     # "distributions" is the design; "estimates" is plain EASY, kept for comparison.
     predictor: Literal["distributions", "estimates"] = "distributions"
-    # Whether running work is stopped for waiting work that stands above it.
-    preempt: bool = False
+    # For whom running work is stopped: nobody, teams that claim their guarantee, or higher priorities too.
+    preempt: Literal["none", "guarantees", "all"] = "guarantees"
     # Shortest time between two planning rounds.
     round_s: Seconds = 0.1
 
