--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -442,6 +442,16 @@
 
     def _make_room(self) -> None:
         """Stops running work for waiting work that the protocol puts above it."""
+        # What earlier rounds have stopped or promised, though it still runs or waits: counted as it was, the
+        # same excess would be taken again each round until its team is far below its guarantee.
+        for machine in self.machines:
+            for task in machine.tasks:
+                if task.stopping:
+                    self._use(task.team, -task.cpus, -task.gpus)
+            for claimant, count in machine.claims.items():
+                other = self.by_id.get(claimant)
+                if other is not None:
+                    self._use(other.team, other.cpus * count, other.gpus * count)
         every = self.preempt == "all"
         wanting = [unmet for unmet in self.plan.unmet if unmet.guaranteed or (every and unmet.job.rank > 0)]
         wanting.sort(key=lambda unmet: (not unmet.guaranteed, -unmet.job.rank))
--- a/spindleglade/backfill/test_planner.py
+++ b/spindleglade/backfill/test_planner.py
@@ -218,3 +218,13 @@
     view.claims["job-1"] = 1
     result = plan([job("job-1", 8.0, rank=2), job("job-2", 2.0, estimate=1.0)], [view])
     assert not result.starts
+
+
+def test_the_same_excess_is_not_taken_twice():
+    """A stopped task may save for seconds, and until it has, its team seems to hold as much as before; rounds
+    that counted it so stopped everything the team had."""
+    views = [machine(f"n-{at}", [running(8.0)]) for at in range(3)]
+    views[0].tasks[0].stopping = True
+    views[0].claims["job-1"] = 1
+    jobs = [job("job-1", 4.0, team="u"), job("job-2", 4.0, team="u")]
+    assert not plan(jobs, views, preempt="guarantees").stops
--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -34,7 +34,7 @@
     # "distributions" is the design; "estimates" is plain EASY, kept for comparison.
     predictor: Literal["distributions", "estimates"] = "distributions"
     # For whom running work is stopped: nobody, teams that claim their guarantee, or higher priorities too.
-    preempt: Literal["none", "guarantees", "all"] = "guarantees"
+    preempt: Literal["none", "guarantees", "all"] = "none"
     # Shortest time between two planning rounds.
     round_s: Seconds = 0.1
 
