Tidy: one rule for the time to save, one for what may start, one for whether there is work

The slack of a stop stood in three places and the conditions of a start in two; a comment described state that is no longer kept and a property was never used. Behaviour is the same.

--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -68,7 +68,7 @@
         self._greeted: set[str] = set()
         self._refusals = Refusals(seconds(settings.refused_s), seconds(settings.refused_most_s))
         self._booting: dict[str, Booting] = {}
-        # Rented machines that never reported and were given up.
+        # Requests made, which number their names.
         self._asked = 0
         # Requests under way: what they may bring counts as booting until they are answered.
         self._asking: dict[str, tuple[Rent, MachineType]] = {}
@@ -189,13 +189,16 @@
             self._asking[rent.request] = (rent, offer.type)
             spawn(self._ask(rent, offer.type), "ask")
 
+    def _working(self) -> bool:
+        with self._ledger.lock:
+            return any(job.open for job in self._ledger.jobs.values())
+
     def _missing_cpus(self) -> float:
         """CPUs that teams could claim by their guarantees beyond what is spare. A machine takes longer to
         boot than such work may wait, so where the aims ask for readiness, and while there is work at all,
         room for the guarantees is kept up."""
-        with self._ledger.lock:
-            if not any(job.open for job in self._ledger.jobs.values()):
-                return -1e9
+        if not self._working():
+            return -1e9
         claims = sum(
             max(0.0, team.cpus - self._used.get(team.name, 0.0)) for team in self._ledger.teams.values()
         )
@@ -260,10 +263,10 @@
     def _give_back(self, now: timedelta) -> None:
         names: dict[str, str] = {}
         extra = -self._missing_cpus() if self._ready else math.inf
-        with self._ledger.lock:
-            working = any(job.open for job in self._ledger.jobs.values())
         # While there is work, a machine kept up is also a warm image cache.
-        patience = seconds(self._settings.idle_ready_s if self._ready and working else self._settings.idle_s)
+        patience = seconds(
+            self._settings.idle_ready_s if self._ready and self._working() else self._settings.idle_s
+        )
         with self._ledger.lock:
             for machine in self._ledger.machines.values():
                 if machine.name in self._releasing:
--- a/spindleglade/settings/platform.py
+++ b/spindleglade/settings/platform.py
@@ -68,10 +68,6 @@
     rps: Positive
     list_lag_s: Amount = 0.0
 
-    @property
-    def list_lag(self) -> timedelta:
-        return timedelta(seconds=self.list_lag_s)
-
 
 class Params(msgspec.Struct, frozen=True):
     teams: list[Team]
--- a/spindleglade/workers/ledger.py
+++ b/spindleglade/workers/ledger.py
@@ -40,6 +40,11 @@
     return timedelta(days=7) if spec.estimate_s is None else timedelta(seconds=spec.estimate_s)
 
 
+def _slack(spec: Submission) -> float:
+    """How long a task that is stopped may take to save; one that cannot save gets none."""
+    return spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
+
+
 class Rules(NamedTuple):
     lease: timedelta
     report: timedelta
@@ -451,7 +456,7 @@
             for other in job.placed.values():
                 if other is not assignment and other.stop is None:
                     other.stop = "its group broke up"
-                    other.slack = job.spec.save_s + 1.0 if job.spec.checkpoint_s > 0 else 0.0
+                    other.slack = _slack(job.spec)
         log.info(
             "ended task=%s try=%d machine=%s cause=%s saved=%s fetched=%s",
             assignment.task,
@@ -577,7 +582,7 @@
         for assignment in machine.placed.values():
             spec = assignment.job.spec
             if assignment.stop is None and spec.checkpoint_s > 0:
-                assignment.stop, assignment.slack = "machine leaves", spec.save_s + 1.0
+                assignment.stop, assignment.slack = "machine leaves", _slack(spec)
 
     def machine_gone(self, name: str, reason: str) -> None:
         """The cloud has said that the machine and all on it are gone."""
@@ -676,13 +681,8 @@
             return False
         if assignment.stop is not None:
             return assignment.seen and assignment.stage in ("running", "pulling")
-        return (
-            not assignment.seen
-            and not assignment.sending
-            and assignment.answered is None
-            and assignment.recorded
-            and (assignment.task, assignment.attempt) not in machine.unsure
-        )
+        key = (assignment.task, assignment.attempt)
+        return key not in machine.unsure and self._may_start(machine, assignment)
 
     def sent(self, machine: Machine, orders: Iterable[Order], unsure: bool, now: timedelta) -> None:
         """What became of orders sent straight to a machine: answered or never sent, or else unsure."""
@@ -919,7 +919,7 @@
                 if stopping is not None and stopping.stop is None:
                     spec = stopping.job.spec
                     stopping.stop = f"room for {stop.claimant}"
-                    stopping.slack = spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
+                    stopping.slack = _slack(spec)
                     log.info(
                         "stopping task=%s machine=%s reason=%s", stopping.task, machine.name, stopping.stop
                     )
