--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -11,6 +11,7 @@
 machine for one task after the other.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -215,8 +216,8 @@
     # Room held on a machine for a job's tasks: machine, job, tasks in all.
     claims: list[tuple[str, str, int]] = field(default_factory=list)
     unmet: list[Unmet] = field(default_factory=list)
-    # For the fleet; only where something found no room.
-    freeing: list[Freeing] = field(default_factory=list)
+    # For the fleet, which does not always ask.
+    freeing: Callable[[], list[Freeing]] = list
     # CPUs of usable machines that nothing takes, and those that teams use.
     spare_cpus: float = 0.0
     used_cpus: dict[str, float] = field(default_factory=dict)
@@ -304,6 +305,7 @@
             for team, (cpus, gpus) in machine.used.items():
                 self._use(team, cpus, gpus)
         self.head: JobView | None = None
+        self.head_tasks = 1
         # For each machine that is a unit for the head, the room a candidate may take without taking the unit.
         self.spare: dict[int, tuple[float, float, float]] = {}
         self.reservation: Reservation | None = None
@@ -341,18 +343,19 @@
             self._make_room()
         self.plan.spare_cpus = float(np.maximum(self.field.cpus, 0.0).sum())
         self.plan.used_cpus = self.used_cpus
-        if self.plan.unmet:
-            self._free_soon()
+        self.plan.freeing = self._freeing
         return self.plan
 
-    def _free_soon(self) -> None:
+    def _freeing(self) -> list[Freeing]:
         where, rows, expected, _, _ = self._outlook()
         order = np.argsort(where, kind="stable")
         table = np.column_stack((expected, rows[:, 3:]))[order]
         cuts = np.searchsorted(where[order], np.arange(len(self.machines) + 1))
         free = np.column_stack((self.field.cpus, self.field.gpus, self.field.memory))
-        for at, machine in enumerate(self.machines):
-            self.plan.freeing.append(Freeing(machine, free[at], table[cuts[at] : cuts[at + 1]]))
+        return [
+            Freeing(machine, free[at], table[cuts[at] : cuts[at + 1]])
+            for at, machine in enumerate(self.machines)
+        ]
 
     # Starts.
 
@@ -378,7 +381,8 @@
             if job.overdue:
                 self._hold(job, rest)
             if self.head is None:
-                self._reserve(job, rest if job.whole else 1)
+                self.head, self.head_tasks = job, rest if job.whole else 1
+                self.plan.head = job.id
 
     def _allowed(self, job: JobView) -> Mask:
         columns = self.field
@@ -564,19 +568,22 @@
         ending &= unit[at]
         return unit, ready, left - need - _EPS, order[ending], at[ending], ends, weights
 
-    def _reserve(self, job: JobView, tasks: int) -> None:
-        self.head = job
-        self.plan.head = job.id
-        unit, ready, left, ending, at, ends, weights = self._units(job)
-        self.spare = {int(machine): tuple(left[machine]) for machine in np.nonzero(unit)[0]}
-        free = int((unit & (ready == 0.0)).sum())
-        lacks = max(1, min(tasks, len(self.spare)) - free)
-        self.reservation = Reservation(ends[ending], weights[ending], at, lacks)
+    def _reserve(self) -> Reservation:
+        """The head's reservation; made only once something asks to go before it."""
+        if self.reservation is None:
+            assert self.head is not None
+            unit, ready, left, ending, at, ends, weights = self._units(self.head)
+            self.spare = {int(machine): tuple(left[machine]) for machine in np.nonzero(unit)[0]}
+            free = int((unit & (ready == 0.0)).sum())
+            lacks = max(1, min(self.head_tasks, len(self.spare)) - free)
+            self.reservation = Reservation(ends[ending], weights[ending], at, lacks)
+        return self.reservation
 
     def _passing(self, job: JobView, at: int, wanted: int, refused: set[tuple]) -> int:
         """How many of the tasks that fit the machine may go before the head. Those that leave it room for the
         head's task take no unit and delay nothing; the first that does not is asked for by Algorithm 2, for
         all alike."""
+        reservation = self._reserve()
         spare = self.spare.get(at)
         if spare is None:
             return wanted
@@ -588,9 +595,8 @@
         count = min(wanted, max(0, beside))
         if count < wanted and job.like() not in refused:
             self.plan.checks += 1
-            assert self.reservation is not None
             ends, weights = self.predictor.remaining(job.team, job.estimate, timedelta(0))
-            if self.reservation.delay(ends, weights, self.taken + 1) < self.tau:
+            if reservation.delay(ends, weights, self.taken + 1) < self.tau:
                 self.taken += 1
                 del self.spare[at]
                 return wanted
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -74,7 +74,7 @@
         self._releasing: set[str] = set()
         self._probing: set[str] = set()
         self._unmet: list[Unmet] = []
-        self._freeing: list[Freeing] = []
+        self._freeing: Callable[[], list[Freeing]] = list
         self._spare = 0.0
         self._used: dict[str, float] = {}
         self._stopped = False
@@ -189,7 +189,7 @@
                 used[job.spec.team] = used.get(job.spec.team, 0.0) + job.spec.cpus * len(job.placed)
         types = self._types()
         if not self._ready:
-            rooms += soon_free(self._freeing, {entry.name: entry.boot_s for entry in types})
+            rooms += soon_free(self._freeing(), {entry.name: entry.boot_s for entry in types})
         wanted = rentals(
             self._unmet,
             rooms,
@@ -300,7 +300,7 @@
                     reason = "does not hear"
                 elif machine.condemned and not machine.placed:
                     reason = "faulty"
-                elif any(
+                elif machine.unsure and any(
                     assignment.stop == "aborted"
                     and not assignment.seen
                     and now - sent > self._ledger.rules.lease / 2
--- a/spindleglade/workers/ledger.py
+++ b/spindleglade/workers/ledger.py
@@ -87,9 +87,10 @@
     slack: float = 0.0
     over: bool = False
 
-    @property
-    def task(self) -> str:
-        return task_name(self.job.id, self.index)
+    task: str = ""
+
+    def __post_init__(self) -> None:
+        self.task = task_name(self.job.id, self.index)
 
     @property
     def recorded(self) -> bool:
