--- a/spindleglade/workers/test_ledger.py
+++ b/spindleglade/workers/test_ledger.py
@@ -192,6 +192,75 @@
     assert book.state() == PLACED
 
 
+def test_a_late_copy_shows_nothing_of_how_the_machine_is():
+    book = Book().running()
+    heard = book.now
+    book.now += seconds(30)
+    assert book.report(("job-1/0", 1, "running"), tally=book.tally) == []
+    book.report(("job-1/0", 1, "running"), tally=2)
+    machine = book.ledger.machines["n-1"]
+    assert machine.heard == book.ledger.heard == heard and not book.ledger.usable(machine, book.now)
+
+
+def test_a_machine_whose_lease_ends_though_it_is_answered_is_deaf():
+    book = Book().running()
+    for _ in range(10):
+        book.now += seconds(1)
+        book.report(("job-1/0", 1, "running"))
+    book.now += seconds(1)
+    # Its new session proves its task gone, yet nothing more is placed there.
+    book.report(session=2)
+    machine = book.ledger.machines["n-1"]
+    assert book.state() == WAITING and not book.ledger.usable(machine, book.now)
+    # Its reports alone change nothing; that this session outlives a lease does: answers arrive again.
+    book.now += seconds(5)
+    book.report(session=2)
+    assert not book.ledger.usable(machine, book.now)
+    book.now += seconds(7)
+    book.report(session=2)
+    assert book.ledger.usable(machine, book.now)
+
+
+def test_a_machine_whose_starts_do_not_show_is_deaf_until_one_does():
+    book = Book()
+    book.report()
+    book.place()
+    book.record()
+    for _ in range(2):
+        assert book.report() == START
+    book.report()
+    machine = book.ledger.machines["n-1"]
+    assert not book.ledger.usable(machine, book.now) and book.state() == PLACED
+    book.report(("job-1/0", 1, "pulling"))
+    assert book.ledger.usable(machine, book.now)
+
+
+def test_an_unanswered_order_makes_a_machine_deaf_and_an_answer_to_a_probe_ends_it():
+    book = Book()
+    book.report()
+    book.place()
+    book.record()
+    book.sent(book.direct(), unsure=True)
+    book.report()
+    machine = book.ledger.machines["n-1"]
+    assert not book.ledger.usable(machine, book.now)
+    book.ledger.hears(machine)
+    assert book.ledger.usable(machine, book.now)
+
+
+def test_starts_are_recorded_before_ends():
+    """Ends, of which nobody waits to hear, used to keep starts waiting for seconds."""
+    book = Book()
+    book.ledger.take_job(JobRecord("open", spec("job-2", 20), 1), 2)
+    book.report()
+    for index in range(20):
+        book.ledger._changed(book.ledger.jobs["job-2"], index)
+    book.place()
+    batch = book.ledger.collect(5, {}, spare=2)
+    assert [(job, number) for job, _, number, _, _ in batch.chunks][0] == ("job-1", 0)
+    assert len(batch.chunks) == 3
+
+
 def test_only_the_clouds_word_frees_the_tasks_of_a_silent_machine():
     book = Book().running()
     book.now += seconds(1000)
--- /dev/null
+++ b/spindleglade/workers/test_reports.py
@@ -0,0 +1,144 @@
+"""Where workers' reports go: late copies, workers sent elsewhere, reports passed on together."""
+
+from datetime import timedelta
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from spindleglade.clock import ManualClock, seconds
+from spindleglade.submissions.records import JobViews
+from spindleglade.workers.api import WorkerApi
+from spindleglade.workers.messages import Report, decode_report
+from spindleglade.workers.relay import Relays
+from spindleglade.workers.spread import Load, Solitude, Spread
+
+LEASE, REPORT = seconds(10), seconds(1)
+
+
+class Confirmed:
+    confirmed = timedelta(0)
+
+
+class Node:
+    """A follower that reaches no leader, cut off from store and siblings since `since`."""
+
+    def __init__(self, since=None, zone="a"):
+        self.clock = ManualClock()
+        self.since = since
+
+        async def relay(body):
+            return None
+
+        self.api = WorkerApi(
+            self.clock,
+            Confirmed(),
+            JobViews(),
+            seconds(17),
+            lambda report: None,
+            lambda: False,
+            relay,
+            lambda token: None,
+            Spread(self.clock, REPORT, 2, LEASE),
+            Solitude(self.clock, zone, LEASE, lambda: self.since),
+        )
+
+    def report(self, tally, machine="n-1", zone="a", session=1):
+        report = Report(machine, "x:1", "m", zone, True, session, tally, 7, [])
+        got = []
+        body = msgspec.json.encode(report)
+        ensureDeferred(self.api.handle("POST", "/v1/report", body)).addCallback(got.append)
+        return got[0].status
+
+
+def test_a_late_copy_of_a_report_renews_no_lease_and_vouches_for_nobody():
+    """A dead machine whose reports came once more was told of as living, and its tasks waited."""
+    node = Node()
+    assert node.report(5) == 200 and node.api.alone == {"n-1": timedelta(0)}
+    node.clock.advance(seconds(8))
+    assert node.report(5) == 503 and node.report(4) == 503
+    assert node.api.alone == {"n-1": timedelta(0)}
+    assert node.report(1, session=2) == 200
+
+
+def test_a_node_that_is_cut_off_alone_sends_workers_on_once():
+    node = Node(since=timedelta(0))
+    node.clock.advance(seconds(1))
+    # Only workers of its own zone: the zone may be cut off, and then there is nobody else for them.
+    assert node.report(1) == 200
+    # One from another zone reaches it all the same.
+    assert node.report(1, "n-2", "b") == 421
+    assert node.report(2) == 421
+    # Back again: it found nobody.
+    node.clock.advance(seconds(6))
+    assert node.report(3) == 200 and node.report(4) == 200
+
+
+def test_without_a_cut_no_worker_is_sent_on():
+    node = Node(since=None)
+    assert node.report(1, "n-2", "b") == 200 and node.report(1) == 200
+
+
+@given(st.lists(st.integers(0, 400), min_size=2, max_size=2), st.integers(0, 400), st.booleans())
+def test_workers_are_sent_only_to_siblings_that_have_less(others, own, leads):
+    clock = ManualClock()
+    spread = Spread(clock, REPORT, 2, LEASE)
+    loads = [Load(f"n-{at}", count, False) for at, count in enumerate(others)]
+    spread.weigh(Load("me", own, leads), loads)
+    # Not at once: a sibling that has only just come back may go again.
+    assert spread.elsewhere("w-0") is None
+    clock.advance(LEASE)
+    spread.weigh(Load("me", own, leads), loads)
+    sent = [spread.elsewhere(f"w-{at}") for at in range(own)]
+    got = {load.node: load.workers + sent.count(load.node) for load in loads}
+    left = own - sum(node is not None for node in sent)
+    for node, workers in got.items():
+        if node in sent:
+            assert workers <= left * (2 if leads else 1) + 1
+    if all(count >= own for count in others) and not leads:
+        assert set(sent) <= {None}
+    # A sibling that is away: nobody is moved.
+    spread.weigh(Load("me", own, leads), loads[:1])
+    assert spread.elsewhere("w-x") is None
+
+
+def test_a_worker_that_came_back_is_left_in_peace():
+    clock = ManualClock()
+    spread = Spread(clock, REPORT, 1, LEASE)
+    for _ in range(2):
+        spread.weigh(Load("me", 100, False), [Load("other", 0, False)])
+        clock.advance(LEASE)
+    spread.weigh(Load("me", 100, False), [Load("other", 0, False)])
+    assert spread.elsewhere("w-1") == "other" and spread.elsewhere("w-1") is None
+
+
+@given(st.lists(st.binary(max_size=5), min_size=1, max_size=8), st.sampled_from(["ok", "lost", "short"]))
+def test_each_report_gets_its_own_answer(reports, fate):
+    clock, carried = ManualClock(), []
+
+    async def carry(gathered):
+        carried.append(list(gathered))
+        answers = [b"to " + report for report in gathered]
+        return {"ok": answers, "lost": None, "short": answers[1:]}[fate]
+
+    relays, got = Relays(clock, seconds(0.02), carry), []
+    for at, report in enumerate(reports):
+        waiting: Deferred = ensureDeferred(relays.send(report))
+        waiting.addCallback(lambda answer, at=at: got.append((at, answer)))
+    assert not got
+    clock.advance(seconds(0.02))
+    assert carried == [reports]
+    expected = [b"to " + report if fate == "ok" else None for report in reports]
+    assert sorted(got) == list(enumerate(expected))
+
+
+@given(st.binary(max_size=80))
+def test_a_malformed_report_is_answered_400(data):
+    try:
+        decode_report(data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        got = []
+        node = Node()
+        ensureDeferred(node.api.handle("POST", "/v1/report", data)).addCallback(got.append)
+        assert got[0].status == 400
