--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -2,12 +2,15 @@
 
 import numpy as np
 
-from spindleglade.backfill.planner import Freeing, Unmet
+from spindleglade.backfill.planner import Freeing, Plan, Unmet
 from spindleglade.backfill.test_planner import job, machine
-from spindleglade.clock import seconds
+from spindleglade.clock import ManualClock, seconds
 from spindleglade.fleet.demand import Offer, Refusals, Room, rentals, soon_free
+from spindleglade.fleet.manager import FleetManager
 from spindleglade.fleet.messages import MachineType
 from spindleglade.settings import Team
+from spindleglade.settings.operator import FleetSettings, WorkerSettings
+from spindleglade.workers.test_ledger import make_ledger
 
 SMALL = MachineType("s", 8.0, 32.0, 1.0, 0.3, 20.0, 50.0, 1.0, 0.0, ["a"])
 LARGE = MachineType("l", 32.0, 128.0, 4.2, 1.3, 30.0, 50.0, 1.0, 0.0, ["a"])
@@ -74,3 +77,44 @@
     assert rent(unmet, offers=ordinary, overdue=frozenset(["job-2"])) == [("s", False, 1)]
     strict = [Unmet(job("job-1", 8.0, spot=False), 1, False)]
     assert rent(strict, offers=ordinary, overdue=frozenset()) == [("s", False, 1)]
+
+
+def manager(aims):
+    """A fleet manager that is asked only for its judgement."""
+    ledger, clock = make_ledger(), ManualClock()
+    types = [MachineType("s", 8.0, 32.0, 1.0, 0.3, 20.0, 50.0, 0.25, 0.0, ["a"])]
+    made = FleetManager(
+        ledger,
+        None,
+        clock,
+        7,
+        lambda: types,
+        ["a"],
+        FleetSettings(),
+        WorkerSettings(),
+        None,
+        {name: seconds(within) for name, within in aims.items()},
+        lambda: None,
+        lambda address, session: None,
+    )
+    return made, clock
+
+
+def test_machines_stand_ready_only_where_work_must_start_sooner_than_one_boots():
+    assert manager({"c": 4.0})[0]._ready
+    assert not manager({"c": 50.0})[0]._ready and not manager({})[0]._ready
+
+
+def test_ordinary_machines_come_in_time_for_the_aim_of_a_class():
+    """With all spot machines in use, half the tasks of a class missed the aim on their start by 20 s."""
+    fleet, clock = manager({"c": 50.0})
+    # 20 s for the boot and 12 s for the image leave 18 s to wait for a spot machine.
+    unmet = [
+        Unmet(job("job-1", image_gb=3.0), 1, False),
+        Unmet(job("job-2", job_class="other", image_gb=3.0), 1, False),
+    ]
+    fleet.demand(Plan(unmet=unmet))
+    clock.advance(seconds(17))
+    assert fleet._overdue(clock.now()) == frozenset()
+    clock.advance(seconds(1))
+    assert fleet._overdue(clock.now()) == frozenset(["job-1"])
