--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -275,10 +275,20 @@
         """Since when this node has had neither the store nor a sibling."""
         return self._cut_off
 
+    def _leader_link(self) -> Any:
+        """The link to the leader. A sibling that says it leads is believed before the replica: a node that
+        the store alone refuses learns of no change of leader, and its workers were given up as silent."""
+        leading = [
+            link for link in self.links.links if link.up and link.state is not None and link.state.leads
+        ]
+        if leading:
+            return max(leading, key=lambda link: link.state.token)
+        leader = self.election.leader
+        return None if leader is None else self.links.to(leader.node)
+
     async def _relay(self, reports: list[bytes]) -> list[bytes] | None:
         """Workers' reports to the leader; nothing if there is none to be reached."""
-        leader = self.election.leader
-        link = None if leader is None else self.links.to(leader.node)
+        link = self._leader_link()
         if link is None:
             return None
         try:
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -300,13 +300,18 @@
             self._settings.idle_ready_s if self._ready and self._working() else self._settings.idle_s
         )
         with self._ledger.lock:
+            cut = self._cut_zones(now)
             for machine in self._ledger.machines.values():
                 if machine.name in self._releasing:
                     continue
                 reason = None
                 if self._ledger.silent(machine, now, self._silence):
                     reason = "silent"
-                elif machine.mute is not None and self._ledger.silent(machine, now, self._early):
+                elif (
+                    machine.mute is not None
+                    and machine.zone not in cut
+                    and self._ledger.silent(machine, now, self._early)
+                ):
                     reason = "silent and does not answer"
                 elif machine.deaf is not None and now - machine.deaf > self._silence * 2:
                     reason = "does not hear"
@@ -340,6 +345,15 @@
         if names:
             self._release(names)
 
+    def _cut_zones(self, now: timedelta) -> set[str]:
+        """Zones most of which fell silent together: that is a cut, not machines that died one by one. Their
+        workers need some seconds to find a node that they reach, and it some more to vouch for them."""
+        seen: dict[str, list[bool]] = {}
+        patience = self._ledger.rules.report * 2 + seconds(0.5)
+        for machine in self._ledger.machines.values():
+            seen.setdefault(machine.zone, []).append(self._ledger.silent(machine, now, patience))
+        return {zone for zone, silent in seen.items() if sum(silent) >= max(3, len(silent) / 2)}
+
     def _release(self, names: dict[str, str]) -> None:
         self._releasing.update(names)
         chosen = list(names)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -298,6 +298,25 @@
     assert world.told["job-000001"] == "done"
 
 
+def test_a_node_that_the_store_refuses_still_finds_the_new_leader():
+    """The old leader, refused by the store alone, saw no other elected; it renewed its workers' leases by
+    itself, and the new leader gave up 46 machines as silent."""
+    world, machine, leader = busy_world(17)
+    old = world.node_names[leader]
+    worker = world.workers[machine.partition(":")[0]]
+    worker.at = leader
+    world.refused.add(old)
+    world.run(seconds(5))
+    new = world.leader()
+    assert new not in (None, leader) and worker.at == leader
+    world.run(seconds(8))
+    heard = world.nodes[world.node_names[new]].reign.ledger.machines[worker.machine.name].heard
+    assert world.nodes[world.node_names[new]]._clock.now() - heard < seconds(2)
+    world.refused.clear()
+    world.run(seconds(60))
+    assert world.started == 1 and len(world.completed) == 1
+
+
 def test_leases_outlive_an_outage_of_the_store():
     world, machine, leader = busy_world(13)
     world.state.outage(seconds(10))
