--- a/run.py
+++ b/run.py
@@ -9,8 +9,8 @@
 # standard library too: Python looks for all of them under the one prefix.
 sys.pycache_prefix = os.path.join(ROOT, "target", "pycache")
 
-# A third of a core gains nothing from the threads of a linear algebra library, and at start they wait for each
-# other at the price of more processor time than all the rest of it.
+# A third of a core gains nothing from the threads of a linear algebra library, and at start they wait for
+# each other at the price of more processor time than all the rest of it.
 os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")
 
 from spindleglade.cli import main  # noqa: E402  (the path must be set first)
--- a/spindleglade/cli.py
+++ b/spindleglade/cli.py
@@ -51,8 +51,8 @@
 
 
 def serve(platform: Platform, settings: OperatorSettings) -> int:
-    # What is imported stays; to look through it for garbage, now and later, is wasted time. A controller that is
-    # back a second sooner saves the leases of machines that wait for it.
+    # What is imported stays; to look through it for garbage, now and later, is wasted time. A controller that
+    # is back a second sooner saves the leases of machines that wait for it.
     gc.disable()
     # Imported late, so that a bad settings file is told of at once.
     from twisted.internet import reactor
