--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -19,7 +19,7 @@
 from spindleglade.reign import Reign
 from spindleglade.settings import OperatorSettings, Platform
 from spindleglade.settings.platform import split_address
-from spindleglade.store.client import Put, StateClient, Unavailable, Unknown, raw
+from spindleglade.store.client import Condition, Put, StateClient, Unavailable, Unknown, raw
 from spindleglade.store.replica import Replica
 from spindleglade.submissions.api import UserApi
 from spindleglade.submissions.records import JOBS, PREFIX, VOUCHED, JobRecord, JobViews
@@ -219,8 +219,10 @@
                 alone.clear()
                 continue
             key = VOUCHED + self._platform.name
+            # Conditional: a copy of this request that comes late must not vouch for machines once more.
+            when = [Condition(key, self.replica.marks.get(key, 0))]
             try:
-                await self.client.txn([], [Put(key, raw(names))], urgent=True)
+                await self.client.txn(when, [Put(key, raw(names))], urgent=True)
             except (Unavailable, Unknown) as error:
                 log.info("could not vouch reason=%s", error)
 
