--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -184,10 +184,17 @@
     store refuses whoever asks too often. Each job is asked for by itself, at each node."""
     world = World(21)
     world.run(seconds(3))
-    jobs = [world.submit(number, threads=1, vcpus=8.0, run_s=600.0) for number in range(300)]
-    world.run(seconds(15))
-    assert world.accepted == set(jobs)
+    jobs = [world.submit(number, threads=1, vcpus=8.0, run_s=600.0) for number in range(150)]
+    world.run(seconds(8))
+    # One node misses more than the store remembers.
     world.state.kept = 5
+    world.refused.add("node-1")
+    jobs += [world.submit(number, threads=1, vcpus=8.0, run_s=600.0) for number in range(150, 300)]
+    world.run(seconds(8))
+    world.refused.clear()
+    assert world.accepted == set(jobs)
+    world.run(seconds(4))
+    assert set(answered_everywhere(world, jobs).values()) == {200}
     world.state.outage(seconds(5))
     for at in range(3):
         kill(world, at, seconds(0.2 + at))
