Ordinary machines in time for a start aim: reverted

What the aim gains the price loses; where the work is more than the spot machines there are, more than that.

--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from spindleglade.backfill.planner import Freeing, JobView, Plan, Unmet
+from spindleglade.backfill.planner import Freeing, Plan, Unmet
 from spindleglade.clock import ZERO, Clock, seconds, sleep
 from spindleglade.fleet.client import MOST_RELEASED, MOST_RENTED, CloudClient, NoCapacity, Refused, Silent
 from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, rentals, soon_free
@@ -43,7 +43,7 @@
         settings: FleetSettings,
         workers: WorkerSettings,
         http: Requester,
-        start_aims: dict[str, timedelta],
+        soonest: timedelta | None,
         changed: Callable[[], None],
         greet: Callable[[str, int], None],
     ) -> None:
@@ -54,8 +54,8 @@
         self._types = types
         self._zones = zones
         self._settings = settings
-        # How soon the deployment's aims want tasks of a class to start.
-        self._start_aims = start_aims
+        # How soon an aim of the deployment wants work to start.
+        self._soonest = soonest
         # Since when each job has had tasks that found no room.
         self._waiting_since: dict[str, timedelta] = {}
         self._silence = ledger.rules.lease + seconds(workers.silence_margin_s)
@@ -92,9 +92,9 @@
         settings do not say whether money counts; it is taken to, except there. An aim that leaves time for a
         boot once passed for readiness too, and 71 ordinary machines were rented at four times the price."""
         types = self._types()
-        if not self._start_aims or not types:
+        if self._soonest is None or not types:
             return False
-        return min(self._start_aims.values()) < min(seconds(entry.boot_s) for entry in types)
+        return self._soonest < min(seconds(entry.boot_s) for entry in types)
 
     def demand(self, plan: Plan) -> None:
         """What the latest planning round found no room for, and what will be free soon."""
@@ -236,24 +236,12 @@
 
     def _overdue(self, now: timedelta) -> frozenset[str] | None:
         """Ordinary machines cost several times as much, so where money counts, work that could use spot ones
-        gets them only once it has waited long, or when it is high time for the aim of its class. Told by the
-        job: while spot machines are all in use there is always some demand, and renting for that would buy
-        little at a high price."""
+        gets them only once it has waited long. Told by the job: while spot machines are all in use there is
+        always some demand, and renting for that would buy little at a high price."""
         if self.ready:
             return None
-        return frozenset(
-            entry.job.id
-            for entry in self._unmet
-            if now - self._waiting_since[entry.job.id] >= self._ordinary_after(entry.job)
-        )
-
-    def _ordinary_after(self, job: JobView) -> timedelta:
         wait = seconds(self._settings.ordinary_wait_s)
-        aim = self._start_aims.get(job.job_class)
-        if aim is not None and (types := self._types()):
-            ready_s = min(entry.boot_s + job.image_gb / entry.pull_gb_per_s for entry in types)
-            wait = min(wait, max(ZERO, aim - seconds(ready_s)))
-        return wait
+        return frozenset(job for job, since in self._waiting_since.items() if now - since >= wait)
 
     async def _ask(self, rent: Rent, kind: MachineType) -> None:
         key: Kind = (rent.type, rent.zone, rent.spot)
--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -136,7 +136,7 @@
             self._settings.fleet,
             own,
             self._http,
-            self._platform.start_aims,
+            self._platform.soonest_start,
             self._changed,
             self._dispatcher.greet,
         )
--- a/spindleglade/settings/platform.py
+++ b/spindleglade/settings/platform.py
@@ -97,14 +97,10 @@
         return {team.name: team for team in self.params.teams}
 
     @property
-    def start_aims(self) -> dict[str, timedelta]:
-        """For each class with such an aim, the shortest time within which its tasks shall start."""
-        found: dict[str, timedelta] = {}
-        for aim in self.params.objectives:
-            if aim.kind == "wait" and aim.job_class is not None and aim.within_s is not None:
-                within = timedelta(seconds=aim.within_s)
-                found[aim.job_class] = min(within, found.get(aim.job_class, within))
-        return found
+    def soonest_start(self) -> timedelta | None:
+        """The shortest time within which an aim of the deployment wants tasks to start."""
+        waits = [aim.within_s for aim in self.params.objectives if aim.kind == "wait"]
+        return min((timedelta(seconds=wait) for wait in waits if wait is not None), default=None)
 
 
 # msgspec says where a value is wrong as `$.params.teams[...].cpus`; operators read `params.teams[...].cpus`.
