--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -389,6 +389,8 @@
         for machine in listed:
             if machine.name in self._releasing:
                 continue
+            if machine.stage == "running":
+                self._ledger.found(machine.name, machine.address, machine.zone)
             if machine.stage == "running" and machine.name not in (self._greeted | proven | gone):
                 self._greeted.add(machine.name)
                 self._greet(machine.address, sessions.get(machine.name, 1))
