--- a/spindleglade/backfill/test_planner.py
+++ b/spindleglade/backfill/test_planner.py
@@ -309,12 +309,13 @@
 
 
 def test_one_stop_makes_room_for_all_that_fit():
-    views = [
-        machine(f"n-{at}", [replace(running(8.0, elapsed=60.0), index=at, loses=seconds(4))])
-        for at in range(3)
-    ]
-    assert len(stopped(plan([job("job-1", 2.0, waiting=4, rank=2)], views, preempt="saving"))) == 1
-    assert len(stopped(plan([job("job-1", 2.0, waiting=5, rank=2)], views, preempt="saving"))) == 2
+    for waiting, stops in ((4, 1), (5, 2)):
+        views = [
+            machine(f"n-{at}", [replace(running(8.0, elapsed=60.0), index=at, loses=seconds(4))])
+            for at in range(3)
+        ]
+        high = job("job-1", 2.0, waiting=waiting, rank=2)
+        assert len(stopped(plan([high], views, preempt="saving"))) == stops
 
 
 def test_work_within_a_guarantee_is_not_stopped_by_a_priority_beyond_one():
