--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -11,222 +11,31 @@
 machine for one task after the other.
 """
 
-from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from datetime import timedelta
 
 import numpy as np
 from numpy.typing import NDArray
 
-from spindleglade.backfill.distributions import Predictor
 from spindleglade.backfill.probability import Reservation
-from spindleglade.settings.platform import Team
+from spindleglade.backfill.snapshot import (
+    Freeing,
+    JobView,
+    MachineView,
+    Plan,
+    Running,
+    Snapshot,
+    Start,
+    Stop,
+    Unmet,
+    task_rows,
+)
 
 Array = NDArray[np.float64]
 Mask = NDArray[np.bool_]
 Counts = NDArray[np.int64]
 
 
-@dataclass(slots=True)
-class Running:
-    """A task that is, or must be taken to be, on a machine."""
-
-    job: str
-    index: int
-    team: str
-    rank: int
-    cpus: float
-    gpus: float
-    memory: float
-    estimate: timedelta
-    # Since when it runs; None while it fetches its image.
-    since: timedelta | None = None
-    # The most that stopping it loses; None: all it has run.
-    loses: timedelta | None = None
-    # Whether it is being stopped already.
-    stopping: bool = False
-
-
-@dataclass(slots=True)
-class MachineView:
-    """A machine as planning sees it. Kept from round to round until something on the machine changes, so a
-    round may write to `claims` and to nothing else."""
-
-    name: str
-    type: str
-    zone: str
-    spot: bool
-    cpus: float
-    gpus: float
-    memory: float
-    pull_gb_per_s: float
-    tasks: list[Running]
-    # Images present, and those being fetched.
-    images: set[str] = field(default_factory=set)
-    pulling: set[str] = field(default_factory=set)
-    open: bool = True
-    # Room held for a job: job -> tasks it may place here.
-    claims: dict[str, int] = field(default_factory=dict)
-    free_cpus: float = 0.0
-    free_gpus: float = 0.0
-    free_memory: float = 0.0
-    used: dict[str, tuple[float, float]] = field(default_factory=dict)
-    _rows: Array | None = None
-
-    def __post_init__(self) -> None:
-        self.free_cpus = self.cpus - sum(task.cpus for task in self.tasks)
-        self.free_gpus = self.gpus - sum(task.gpus for task in self.tasks)
-        self.free_memory = self.memory - sum(task.memory for task in self.tasks)
-        for task in self.tasks:
-            cpus, gpus = self.used.get(task.team, (0.0, 0.0))
-            self.used[task.team] = (cpus + task.cpus, gpus + task.gpus)
-
-    def rows(self, codes: dict[str, int]) -> Array:
-        """Its tasks: team, estimate, since when, CPUs, GPUs, memory."""
-        if self._rows is None:
-            self._rows = _rows(self.tasks, codes)
-        return self._rows
-
-
-def _rows(tasks: list[Running], codes: dict[str, int]) -> Array:
-    return np.array(
-        [
-            (
-                codes.get(task.team, -1),
-                task.estimate.total_seconds(),
-                np.nan if task.since is None else task.since.total_seconds(),
-                task.cpus,
-                task.gpus,
-                task.memory,
-            )
-            for task in tasks
-        ],
-        float,
-    ).reshape(-1, 6)
-
-
-@dataclass(slots=True)
-class JobView:
-    id: str
-    team: str
-    job_class: str
-    rank: int
-    # Waiting task numbers, in order; only as many as may be of use in one round.
-    waiting: list[int]
-    tasks: int
-    cpus: float
-    gpus: float
-    memory: float
-    image: str
-    image_gb: float
-    types: frozenset[str] | None
-    zone: str | None
-    one_zone: bool
-    spread: bool
-    spot: bool
-    estimate: timedelta
-    # Tasks now placed, by zone.
-    zones: dict[str, int] = field(default_factory=dict)
-    # All waiting tasks start in one round, or none does.
-    whole: bool = False
-    # Has had no start for so long that nothing may go before it.
-    overdue: bool = False
-    # Machines on which it failed.
-    avoid: frozenset[str] = frozenset()
-    # Waiting tasks an older attempt of which still lies uncleared on some machines.
-    barred: dict[int, set[str]] = field(default_factory=dict)
-
-    def like(self) -> tuple:
-        """Tasks with the same key are decided together."""
-        return (
-            self.team,
-            self.job_class,
-            self.rank,
-            self.cpus,
-            self.gpus,
-            self.memory,
-            self.types,
-            self.zone,
-            self.one_zone,
-            self.spread,
-            self.spot,
-            self.image,
-            self.estimate,
-        )
-
-    def place(self) -> tuple:
-        """Tasks with the same key fit the same machines."""
-        return (self.cpus, self.gpus, self.memory, self.types, self.zone, self.spot)
-
-    @property
-    def plain(self) -> bool:
-        """Where one task may go does not depend on where the others are."""
-        return not (self.one_zone or self.spread or self.whole or self.barred)
-
-
-@dataclass(slots=True)
-class Snapshot:
-    # In submission order.
-    jobs: list[JobView]
-    machines: list[MachineView]
-    teams: dict[str, Team]
-    predictor: Predictor
-    now: timedelta
-    # Ordinary machines are not taken back; spot ones are cheaper, and the others then fall idle sooner.
-    ordinary_first: bool = False
-
-
-@dataclass(slots=True)
-class Start:
-    job: str
-    index: int
-    machine: str
-
-
-@dataclass(slots=True)
-class Stop:
-    job: str
-    index: int
-    machine: str
-    # The job room is made for.
-    claimant: str
-
-
-@dataclass(slots=True)
-class Unmet:
-    """Waiting tasks of one job that found no room and are within their team's limit."""
-
-    job: JobView
-    count: int
-    guaranteed: bool
-
-
-@dataclass(slots=True)
-class Freeing:
-    """What a machine has free (CPUs, GPUs, memory), and what its tasks are expected to free: a row for each
-    with after how many seconds, and again how many CPUs and GPUs, how much memory."""
-
-    machine: MachineView
-    free: Array
-    tasks: Array
-
-
-@dataclass(slots=True)
-class Plan:
-    starts: list[Start] = field(default_factory=list)
-    stops: list[Stop] = field(default_factory=list)
-    # Room held on a machine for a job's tasks: machine, job, tasks in all.
-    claims: list[tuple[str, str, int]] = field(default_factory=list)
-    unmet: list[Unmet] = field(default_factory=list)
-    # For the fleet, which does not always ask.
-    freeing: Callable[[], list[Freeing]] = list
-    # CPUs of usable machines that nothing takes, and those that teams use.
-    spare_cpus: float = 0.0
-    used_cpus: dict[str, float] = field(default_factory=dict)
-    head: str | None = None
-    checks: int = 0
-
-
 _EPS = 1e-6
 # Tasks stopped in one round; the rest waits for the next.
 _MOST_STOPS = 24
@@ -544,7 +353,7 @@
         parts = [view.rows(self.codes) for view in self.machines]
         where = np.repeat(np.arange(len(parts)), [len(part) for part in parts])
         if self.added:
-            parts.append(_rows([task for _, task in self.added], self.codes))
+            parts.append(task_rows([task for _, task in self.added], self.codes))
             where = np.concatenate((where, [at for at, _ in self.added]))
         rows = np.concatenate(parts) if parts else np.zeros((0, 6))
         elapsed = np.nan_to_num(self.now.total_seconds() - rows[:, 2], nan=0.0)
--- a/spindleglade/backfill/rounds.py
+++ b/spindleglade/backfill/rounds.py
@@ -9,7 +9,8 @@
 
 from twisted.internet.defer import Deferred
 
-from spindleglade.backfill.planner import Plan, Planner
+from spindleglade.backfill.planner import Planner
+from spindleglade.backfill.snapshot import Plan
 from spindleglade.clock import Clock, sleep
 from spindleglade.tasks import spawn
 from spindleglade.workers.ledger import Ledger
--- a/spindleglade/backfill/test_planner.py
+++ b/spindleglade/backfill/test_planner.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies as st
 
 from spindleglade.backfill.distributions import Bins, Predictor
-from spindleglade.backfill.planner import JobView, MachineView, Planner, Running, Snapshot
+from spindleglade.backfill.planner import Planner
+from spindleglade.backfill.snapshot import JobView, MachineView, Running, Snapshot
 from spindleglade.clock import seconds
 from spindleglade.settings import Team
 
--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from spindleglade.backfill.planner import Freeing, JobView, Unmet
+from spindleglade.backfill.snapshot import Freeing, JobView, Unmet
 from spindleglade.fleet.messages import MachineType
 from spindleglade.settings.platform import Team
 
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from spindleglade.backfill.planner import Freeing, Plan, Unmet
+from spindleglade.backfill.snapshot import Freeing, Plan, Unmet
 from spindleglade.clock import ZERO, Clock, seconds, sleep
 from spindleglade.fleet.client import MOST_RELEASED, MOST_RENTED, CloudClient, NoCapacity, Refused, Silent
 from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, rentals, soon_free
@@ -18,7 +18,8 @@
 from spindleglade.settings.operator import FleetSettings, WorkerSettings
 from spindleglade.tasks import spawn
 from spindleglade.web import NoAnswer, Requester
-from spindleglade.workers.ledger import Ledger, Machine
+from spindleglade.workers.attempts import Machine
+from spindleglade.workers.ledger import Ledger
 
 log = logging.getLogger("spindleglade.fleet")
 
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -2,7 +2,7 @@
 
 import numpy as np
 
-from spindleglade.backfill.planner import Freeing, Unmet
+from spindleglade.backfill.snapshot import Freeing, Unmet
 from spindleglade.backfill.test_planner import job, machine
 from spindleglade.clock import ManualClock, seconds
 from spindleglade.fleet.demand import Offer, Refusals, Room, rentals, soon_free
--- a/spindleglade/fleet/types.py
+++ b/spindleglade/fleet/types.py
@@ -16,7 +16,7 @@
 from spindleglade.submissions.messages import MachineShape
 from spindleglade.submissions.records import TYPES
 from spindleglade.tasks import keep
-from spindleglade.workers.ledger import MachineKind
+from spindleglade.workers.attempts import MachineKind
 
 log = logging.getLogger("spindleglade.fleet")
 
--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from spindleglade.backfill.distributions import Bins, History, Predictor
-from spindleglade.backfill.planner import Plan, Planner
+from spindleglade.backfill.planner import Planner
 from spindleglade.backfill.rounds import Rounds
+from spindleglade.backfill.snapshot import Plan
 from spindleglade.clock import Clock, seconds, sleep
 from spindleglade.fleet.client import CloudClient
 from spindleglade.fleet.manager import FleetManager
@@ -20,8 +21,9 @@
 from spindleglade.submissions.records import HISTORY, JOBS, PREFIX, TASKS, Chunk, JobRecord, split_chunk_key
 from spindleglade.tasks import spawn
 from spindleglade.web import Requester
+from spindleglade.workers.attempts import Deposed, Rules
 from spindleglade.workers.dispatch import Dispatcher
-from spindleglade.workers.ledger import Deposed, Ledger, Rules
+from spindleglade.workers.ledger import Ledger
 from spindleglade.workers.messages import Report, ReportAnswer
 from spindleglade.workers.recorder import Recorder
 
--- a/spindleglade/workers/dispatch.py
+++ b/spindleglade/workers/dispatch.py
@@ -9,7 +9,8 @@
 from spindleglade.clock import Clock
 from spindleglade.tasks import spawn
 from spindleglade.web import NoAnswer, NotSent, Requester, Response
-from spindleglade.workers.ledger import Deposed, Ledger, Machine
+from spindleglade.workers.attempts import Deposed, Machine
+from spindleglade.workers.ledger import Ledger
 from spindleglade.workers.messages import Order, Orders, Report, decode_report
 
 log = logging.getLogger("spindleglade.workers")
--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -26,7 +26,8 @@
 )
 from spindleglade.submissions.records import JOBS, chunk_key, job_key
 from spindleglade.tasks import spawn
-from spindleglade.workers.ledger import Batch, Ledger
+from spindleglade.workers.attempts import Batch
+from spindleglade.workers.ledger import Ledger
 
 log = logging.getLogger("spindleglade.workers")
 
--- a/spindleglade/workers/test_ledger.py
+++ b/spindleglade/workers/test_ledger.py
@@ -7,12 +7,13 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from spindleglade.backfill.distributions import Bins, Predictor
-from spindleglade.backfill.planner import Plan, Start, Stop
+from spindleglade.backfill.snapshot import Plan, Start, Stop
 from spindleglade.clock import seconds
 from spindleglade.settings import Team
 from spindleglade.submissions.messages import Submission
 from spindleglade.submissions.records import Chunk, JobRecord, Placement
-from spindleglade.workers.ledger import PLACED, WAITING, Deposed, Ledger, MachineKind, Rules
+from spindleglade.workers.attempts import PLACED, WAITING, Deposed, MachineKind, Rules
+from spindleglade.workers.ledger import Ledger
 from spindleglade.workers.messages import Order, Report, TaskReport, split_task
 
 TOKEN = 7
--- a/spindleglade/workers/test_recorder.py
+++ b/spindleglade/workers/test_recorder.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from spindleglade.backfill.planner import Plan, Start
+from spindleglade.backfill.snapshot import Plan, Start
 from spindleglade.clock import ManualClock, seconds
 from spindleglade.leadership.election import LEADER, Term
 from spindleglade.settings.platform import StateLimits
