Who is elected first is not deposed by the next

Cause: the marks for the election were read after the lease had been granted; another node's election seen in between was taken for the vacancy, so two leaders followed each other within 10 ms at a start.

--- a/spindleglade/leadership/election.py
+++ b/spindleglade/leadership/election.py
@@ -172,11 +172,13 @@
             await self._replica.confirm()
             if not self._vacant():
                 return
+            # As they were when the place was found vacant: while the lease is asked for another may be
+            # elected, and with the marks of then this node would depose it at once.
+            when = [Condition(key, self._replica.marks.get(key, 0)) for key in (LEADER, TOKEN)]
             lease = await self._client.grant(self._lease)
             token = max(self._token, self.highest) + 1
-            marks = self._replica.marks
             result = await self._client.txn(
-                [Condition(LEADER, marks.get(LEADER, 0)), Condition(TOKEN, marks.get(TOKEN, 0))],
+                when,
                 [
                     Put(LEADER, raw(LeaderRecord(self._node, token)), lease),
                     Put(TOKEN, raw(TokenRecord(token))),
--- a/spindleglade/leadership/test_leadership.py
+++ b/spindleglade/leadership/test_leadership.py
@@ -7,8 +7,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from spindleglade.clock import seconds
+from spindleglade.clock import ManualClock, seconds
+from spindleglade.leadership.election import LEADER, Election, LeaderRecord
 from spindleglade.leadership.links import Forward, Forwarded, Ping, Relay, Relayed, decode_message
+from spindleglade.store.client import Condition, Refused
 from tests.world import World
 
 numbers = st.integers(0, (1 << 63) - 1)
@@ -108,6 +110,38 @@
     assert not world.nodes[name].leads and world.leader() not in (None, leader)
 
 
+def test_who_is_elected_first_is_not_deposed_by_the_next():
+    """Another node's election, seen while the lease was asked for, was taken for the vacancy: two leaders
+    within 10 ms of a start."""
+
+    class Replica:
+        loaded, marks = True, {}
+
+        def listen(self, listener):
+            self.listener = listener
+
+        async def confirm(self):
+            pass
+
+    class Store:
+        async def grant(self, ttl):
+            replica.marks[LEADER] = 9
+            replica.listener(LEADER, msgspec.json.encode(LeaderRecord("other", 1)), 9)
+            return 5
+
+        async def txn(self, when, writes, urgent=False):
+            asked.extend(when)
+            return Refused(frozenset([LEADER]), 9)
+
+        async def drop(self, lease):
+            pass
+
+    asked, replica, clock = [], Replica(), ManualClock()
+    Election("me", Store(), replica, clock, seconds(4), None, None, lambda: True).start()
+    clock.advance(seconds(0.1))
+    assert Condition(LEADER, 0) in asked
+
+
 def test_a_leader_whose_process_ended_is_replaced_before_its_lease_ends():
     world = World(5)
     world.run(seconds(3))
