--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -108,9 +108,6 @@
         self.predictor = snapshot.predictor
         self.now = snapshot.now
         self.ordinary_first = snapshot.ordinary_first
-        # How long the work that runs is estimated to take, by the CPU.
-        taken = sum(machine.cpus - machine.free_cpus for machine in snapshot.machines)
-        self.usual_s = sum(machine.work for machine in snapshot.machines) / taken if taken else 0.0
         self.tau = tau
         self.preempt = preempt
         self.field = _Field(self.machines)
@@ -263,14 +260,8 @@
         so that others stay whole or idle."""
         able = np.nonzero(fits)[0]
         fetch = self.field.fetch_s(job.image, job.image_gb)
-        # Of an array of long tasks on machines that may be taken back, some are nearly always lost, and the
-        # whole job waits for them to run again: longer than for its image. What is short leaves the ordinary
-        # machines to them.
-        long = self.ordinary_first and job.estimate.total_seconds() >= self.usual_s
-        spot, free = self.field.spot[able], self.field.cpus[able]
-        if long:
-            return able[np.lexsort((free, fetch[able], spot))]
-        return able[np.lexsort((free, ~spot, fetch[able]))]
+        dear = self.field.spot == self.ordinary_first
+        return able[np.lexsort((self.field.cpus[able], dear[able], fetch[able]))]
 
     def _place_alike(
         self, job: JobView, wanted: int, passes: bool, refused: set[tuple], full: set[tuple]
--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -57,15 +57,12 @@
     free_gpus: float = 0.0
     free_memory: float = 0.0
     used: dict[str, tuple[float, float]] = field(default_factory=dict)
-    # CPU seconds that its tasks are estimated to take in all.
-    work: float = 0.0
     _rows: Array | None = None
 
     def __post_init__(self) -> None:
         self.free_cpus = self.cpus - sum(task.cpus for task in self.tasks)
         self.free_gpus = self.gpus - sum(task.gpus for task in self.tasks)
         self.free_memory = self.memory - sum(task.memory for task in self.tasks)
-        self.work = sum(task.cpus * task.estimate.total_seconds() for task in self.tasks)
         for task in self.tasks:
             cpus, gpus = self.used.get(task.team, (0.0, 0.0))
             self.used[task.team] = (cpus + task.cpus, gpus + task.gpus)
@@ -161,8 +158,7 @@
     teams: dict[str, Team]
     predictor: Predictor
     now: timedelta
-    # Ordinary machines are not taken back; spot ones are cheaper, and the others then fall idle sooner. Where
-    # ordinary ones go first, they do for long tasks.
+    # Ordinary machines are not taken back; spot ones are cheaper, and the others then fall idle sooner.
     ordinary_first: bool = False
 
 
