--- a/tests/world.py
+++ b/tests/world.py
@@ -12,6 +12,7 @@
 from spindleglade.clock import ManualClock, seconds
 from spindleglade.leadership.links import Forward, Forwarded, LinkDown, Ping, Relay, Relayed
 from spindleglade.settings import OperatorSettings, Platform
+from spindleglade.settings.platform import Sibling
 from spindleglade.tasks import spawn
 from spindleglade.web import NoAnswer, NotSent, Response
 from tests.standins import Cloud, Machine, Reply, StateService, Worker, decode, encode
@@ -128,6 +129,7 @@
     def __init__(self, world: "World", own: str, other: str) -> None:
         self._world, self._own, self.other = world, own, other
         self.state: Ping | None = None
+        self.sibling = Sibling(other, "a", "10.0.0.0:2")
 
     @property
     def up(self) -> bool:
@@ -142,7 +144,7 @@
 
         async def serve() -> None:
             if isinstance(message, Relay):
-                answer: Any = Relayed(0, await node._relayed(message.report))
+                answer: Any = Relayed(0, node._relayed(message.reports))
             else:
                 assert isinstance(message, Forward)
                 got = await node._forwarded(message.method, message.path, message.body)
@@ -180,7 +182,15 @@
 
 
 class World:
-    def __init__(self, seed: int, nodes: int = 3, capacity: int = 5, error: float = 0.0) -> None:
+    def __init__(
+        self,
+        seed: int,
+        nodes: int = 3,
+        capacity: int = 5,
+        error: float = 0.0,
+        settings: OperatorSettings | None = None,
+    ) -> None:
+        self.settings = settings or OperatorSettings()
         self.clock = ManualClock()
         self.rng = random.Random(seed)
         self.error = error
@@ -195,10 +205,16 @@
         self.cuts: dict[frozenset[str], list | None] = {}
         self.refused: set[str] = set()
         self.lose = 0.0
+        # Machines whose reports arrive, but which no answer and no order reaches.
+        self.deaf: set[str] = set()
+        # How often a late copy of a report comes, at any node, and of what a controller asked for.
+        self.copies = 0.0
+        self.repeats = 0.0
         # What users did and were told.
         self.jobs: dict[str, dict] = {}
         self.asked_abort: set[str] = set()
         self.told: dict[str, str] = {}
+        self.answered: dict[str, timedelta] = {}
         self.accepted: set[str] = set()
         self.aborted_at: dict[str, timedelta] = {}
         # Where each task is, and what was broken.
@@ -227,7 +243,7 @@
 
         node = Node(
             platform(index, len(self.node_names)),
-            OperatorSettings(),
+            self.settings,
             life,
             SimHttp(self, name, life),
             connect,
@@ -285,9 +301,23 @@
             self._pass(target, source, lambda: answered(answer))
 
         self._pass(source, target, arrive)
+        if path == "/v1/report" and self.rng.random() < self.copies:
+            late = seconds(self.rng.uniform(1, 2.5 * LEASE.total_seconds()))
+            other = self.rng.choice(self.node_names)
+            self.clock.later(late, self._copy, source, other, method, path, body)
+        elif source in self.node_names and method == "POST" and self.rng.random() < self.repeats:
+            late = seconds(self.rng.uniform(0.2, 8))
+            self.clock.later(late, self._copy, source, target, method, path, body)
+
+    def _copy(self, source: str, target: str, method: str, path: str, body: bytes) -> None:
+        """A message that has been carried before comes again; whoever sent it waits for no answer."""
+        if not self.is_cut(source, target) and target not in self.deaf:
+            self._serve(source, target, method, path, body)
 
     def _pass(self, source: str, target: str, deliver: Any) -> None:
         pair = frozenset((source, target))
+        if target in self.deaf:
+            return
         if pair in self.cuts:
             held = self.cuts[pair]
             if held is not None:
@@ -479,6 +509,7 @@
         before = self.told.get(job_id)
 
         def told(status: int, body: bytes) -> None:
+            self.answered[job_id] = self.clock.now()
             if status == 404:
                 if known:
                     self.broken.append(f"forgotten {job_id}")
