--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -436,15 +436,15 @@
 
     def _hold(self, job: JobView, rest: int) -> None:
         """Holds room that frees for an overdue job, so that nothing small slips in before enough is free in
-        one place: what it has already, and more on the machines that will have room soonest. On a quarter of
-        the machines at most: the others must get on as well."""
+        one place: what it has already, and more on the machines that will have room soonest. On a sixteenth
+        of the machines at most: they stand half empty meanwhile, and the others must get on as well."""
         held = 0
         for at in self.field.claimed:
             count = self.machines[at].claims.get(job.id, 0)
             if count > 0:
                 self.plan.claims.append((self.machines[at].name, job.id, count))
                 held += count
-        more = min(rest - held, max(1, len(self.machines) // 4) - len(self.field.claimed))
+        more = min(rest - held, max(1, len(self.machines) // 16) - len(self.field.claimed))
         if more <= 0:
             return
         unit, ready, *_ = self._units(job)
--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -81,7 +81,7 @@
     list_s: Seconds = 4.0
     types_s: Seconds = 30.0
     # How long a job must have waited before ordinary machines are rented for it though it may use spot ones.
-    ordinary_wait_s: Seconds = 300.0
+    ordinary_wait_s: Seconds = 600.0
 
 
 class StoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
