Connections bounded by the machine's sockets; renting decided for like work as one

Rooms are columns now, filled for like work together; a generated test compares with the plain form.

Sockets: kept connections to machines had no bound in all, incoming ones no end.

--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -19,6 +19,7 @@
 from spindleglade.reign import Reign
 from spindleglade.settings import OperatorSettings, Platform
 from spindleglade.settings.platform import split_address
+from spindleglade.sockets import Sockets
 from spindleglade.store.client import Condition, Put, StateClient, Unavailable, Unknown, raw
 from spindleglade.store.replica import Replica
 from spindleglade.submissions.api import UserApi
@@ -35,6 +36,8 @@
 
 # How often a node on its own tells the leader, through the store, whose leases it renews.
 VOUCH_S = 1.5
+# How often idle connections are looked for.
+TIDY_S = 2.0
 
 Compute = Callable[..., Awaitable[Any]]
 
@@ -47,11 +50,13 @@
     def connect(*handlers: Any) -> Links:
         return Links(reactor, clock, platform.siblings, seconds(settings.leadership.ping_s), *handlers)
 
+    sockets = Sockets(platform.params.machine_limits.sockets)
     node = Node(
         platform,
         settings,
         clock,
         HttpClient(reactor, per_host=8),
+        HttpClient(reactor, per_host=1, sockets=sockets),
         connect,
         partial(deferToThreadPool, reactor, pool),
     )
@@ -60,15 +65,28 @@
         log.error("cannot listen address=%s reason=%s", address, failure.getErrorMessage())
         reactor.stop()
 
+    # A worker that has not reported for its lease is in another session, or reports elsewhere.
+    workers = platform.params.workers
+    front = site(node.handle, sockets, clock, workers.lease + workers.report)
+
+    async def tidy() -> None:
+        while True:
+            await sleep(clock, seconds(TIDY_S))
+            closed = front.tidy()
+            if closed:
+                log.debug("idle connections closed count=%d open=%d", closed, sockets.open)
+
     def begin() -> None:
         pool.start()
+        keep(clock, tidy, "tidying")
         reactor.addSystemEventTrigger("before", "shutdown", pool.stop)
         for address, factory in (
-            (platform.client_listen, site(node.handle)),
+            (platform.client_listen, front),
             (platform.peer_listen, node.links.factory()),
         ):
             host, port = split_address(address)
-            listening = TCP4ServerEndpoint(reactor, port, backlog=512, interface=host).listen(factory)
+            # After a restart everybody comes within a second.
+            listening = TCP4ServerEndpoint(reactor, port, sockets.limit, host).listen(factory)
             listening.addErrback(not_listening, address)
         node.start()
 
@@ -77,7 +95,8 @@
 
 class Node:
     """One controller. What it reaches the world by is handed in, so that tests can stand in for it: `http`
-    sends requests, `connect` makes the links to the siblings, `compute` runs the planning off this thread."""
+    sends requests to store and cloud, `machines` to the machines, `connect` makes the links to the siblings,
+    `compute` runs the planning off this thread."""
 
     def __init__(
         self,
@@ -85,6 +104,7 @@
         settings: OperatorSettings,
         clock: Clock,
         http: Requester,
+        machines: Requester,
         connect: Callable[..., Siblings],
         compute: Compute,
     ) -> None:
@@ -92,6 +112,7 @@
         self._settings = settings
         self._clock = clock
         self._http = http
+        self._machines = machines
         self._compute = compute
         params = platform.params
         self.client = StateClient(
@@ -178,7 +199,7 @@
             self._settings,
             self._clock,
             self._compute,
-            self._http,
+            self._machines,
             self.client,
             self.cloud,
             self.types,
--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -169,16 +169,10 @@
         self.plan.freeing = self._freeing
         return self.plan
 
-    def _freeing(self) -> list[Freeing]:
+    def _freeing(self) -> Freeing:
         where, rows, expected, _, _ = self._outlook()
-        order = np.argsort(where, kind="stable")
-        table = np.column_stack((expected, rows[:, 3:]))[order]
-        cuts = np.searchsorted(where[order], np.arange(len(self.machines) + 1))
         free = np.column_stack((self.field.cpus, self.field.gpus, self.field.memory))
-        return [
-            Freeing(machine, free[at], table[cuts[at] : cuts[at + 1]])
-            for at, machine in enumerate(self.machines)
-        ]
+        return Freeing(self.machines, free, where, expected, rows[:, 3:])
 
     # Starts.
 
--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -189,12 +189,18 @@
 
 @dataclass(slots=True)
 class Freeing:
-    """What a machine has free (CPUs, GPUs, memory), and what its tasks are expected to free: a row for each
-    with after how many seconds, and again how many CPUs and GPUs, how much memory."""
+    """What machines have free (a row each: CPUs, GPUs, memory), and what their tasks are expected to free:
+    for each task the place of its machine, after how many seconds, and again CPUs, GPUs, memory."""
 
-    machine: MachineView
+    machines: list[MachineView]
     free: Array
-    tasks: Array
+    where: NDArray[np.int64]
+    after: Array
+    frees: Array
+
+    @classmethod
+    def nothing(cls) -> "Freeing":
+        return cls([], np.zeros((0, 3)), np.zeros(0, np.int64), np.zeros(0), np.zeros((0, 3)))
 
 
 @dataclass(slots=True)
@@ -205,7 +211,7 @@
     claims: list[tuple[str, str, int]] = field(default_factory=list)
     unmet: list[Unmet] = field(default_factory=list)
     # For the fleet, which does not always ask.
-    freeing: Callable[[], list[Freeing]] = list
+    freeing: Callable[[], Freeing] = Freeing.nothing
     # CPUs of usable machines that nothing takes, and those that teams use.
     spare_cpus: float = 0.0
     used_cpus: dict[str, float] = field(default_factory=dict)
--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -4,13 +4,20 @@
 rented, of the kind that runs it at the least price.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import NamedTuple
 
-from spindleglade.backfill.snapshot import Freeing, JobView, Unmet
+import numpy as np
+from numpy.typing import NDArray
+
+from spindleglade.backfill.snapshot import Freeing, JobView, MachineView, Unmet
 from spindleglade.fleet.messages import MachineType
 from spindleglade.settings.platform import Team
 
+Array = NDArray[np.float64]
+
 _EPS = 1e-6
 Kind = tuple[str, str, bool]
 
@@ -34,8 +41,7 @@
         return self.type.spot_price if self.spot else self.type.price
 
 
-@dataclass(slots=True)
-class Room:
+class Room(NamedTuple):
     """A machine on its way: what is still free on it once it is up."""
 
     type: str
@@ -45,31 +51,52 @@
     gpus: float
     memory: float
 
+
+class Rooms:
+    """Many of them as columns, filled in order."""
+
+    def __init__(self, rooms: Sequence[Room] = ()) -> None:
+        self._kinds: dict[Kind, int] = {}
+        self._codes = np.array([self._code(room[:3]) for room in rooms], np.int64)
+        self._free = np.array([room[3:] for room in rooms], float).reshape(-1, 3)
+
+    def _code(self, kind: Kind) -> int:
+        return self._kinds.setdefault(kind, len(self._kinds))
+
+    def add(self, machines: Sequence[MachineView], free: Array) -> None:
+        codes = np.array([self._code((view.type, view.zone, view.spot)) for view in machines], np.int64)
+        self._codes = np.concatenate((self._codes, codes))
+        self._free = np.vstack((self._free, free))
+
+    def add_new(self, offer: Offer) -> None:
+        kind = offer.type
+        self._codes = np.append(self._codes, self._code(offer.kind))
+        self._free = np.vstack((self._free, (kind.cpus, kind.gpus, kind.memory_gb)))
+
     def take(self, job: JobView, most: int) -> int:
-        """Puts up to that many tasks of the job here; returns how many fitted."""
-        if job.cpus > self.cpus + _EPS or not _suits(job, self.type, self.zone, self.spot):
+        """Puts up to that many tasks of the job into the rooms; returns how many fitted."""
+        suits = np.array([_suits(job, *kind) for kind in self._kinds], bool)
+        if most <= 0 or not suits.any():
             return 0
-        fits = [most, int((self.cpus + _EPS) / job.cpus)]
-        if job.gpus > 0:
-            fits.append(int((self.gpus + _EPS) / job.gpus))
-        if job.memory > 0:
-            fits.append(int((self.memory + _EPS) / job.memory))
-        count = max(0, min(fits))
-        self.cpus -= job.cpus * count
-        self.gpus -= job.gpus * count
-        self.memory -= job.memory * count
-        return count
-
-
-def soon_free(freeing: list[Freeing], boot_s: dict[str, float]) -> list[Room]:
-    """Running machines as room for waiting work: what will be free there before a machine rented now could
-    be up. Renting for it would pay for a boot and save no time."""
-    rooms = []
-    for entry in freeing:
-        machine, horizon = entry.machine, boot_s.get(entry.machine.type, 0.0)
-        cpus, gpus, memory = entry.free + entry.tasks[entry.tasks[:, 0] < horizon, 1:].sum(axis=0)
-        rooms.append(Room(machine.type, machine.zone, machine.spot, float(cpus), float(gpus), float(memory)))
-    return rooms
+        need = np.array((job.cpus, job.gpus, job.memory))
+        asked = need > 0
+        fits = np.floor((self._free[:, asked] + _EPS) / need[asked]).min(axis=1)
+        fits = np.where(suits[self._codes], np.maximum(fits, 0.0), 0.0)
+        before = np.cumsum(fits) - fits
+        taken = np.clip(most - before, 0.0, fits)
+        self._free -= taken[:, None] * need
+        return int(taken.sum())
+
+
+def soon_free(rooms: Rooms, freeing: Freeing, boot_s: dict[str, float]) -> None:
+    """Adds running machines as room for waiting work: what will be free there before a machine rented now
+    could be up. Renting for it would pay for a boot and save no time."""
+    horizon = np.array([boot_s.get(view.type, 0.0) for view in freeing.machines])
+    free = freeing.free.copy()
+    if len(freeing.where):
+        soon = freeing.after < horizon[freeing.where]
+        np.add.at(free, freeing.where[soon], freeing.frees[soon])
+    rooms.add(freeing.machines, free)
 
 
 def _suits(job: JobView, type: str, zone: str, spot: bool) -> bool:
@@ -90,9 +117,18 @@
     return int(min(fits) + _EPS)
 
 
+def _alike(entry: Unmet, overdue: frozenset[str] | None) -> tuple:
+    """Work with the same key is rented for as one: it fits the same machines and counts against the same
+    limit. A queue of hundreds of jobs over hundreds of machines, each job by itself, took a third of the
+    leader's time."""
+    job = entry.job
+    key = (job.team, *job.place(), overdue is not None and job.id in overdue)
+    return (*key, job.id) if job.one_zone else key
+
+
 def rentals(
     unmet: list[Unmet],
-    booting: list[Room],
+    rooms: Rooms,
     offers: list[Offer],
     teams: dict[str, Team],
     used_cpus: dict[str, float],
@@ -100,41 +136,31 @@
     steady: bool = False,
     overdue: frozenset[str] | None = None,
 ) -> list[tuple[Offer, int]]:
-    rooms = list(booting)
+    """`rooms` is used up."""
     wanted: dict[Kind, int] = {}
     by_kind = {offer.kind: offer for offer in offers}
     used = dict(used_cpus)
     asked = 0
+    alike: dict[tuple, tuple[JobView, int]] = {}
     for entry in unmet:
-        job = entry.job
+        key = _alike(entry, overdue)
+        job, count = alike.get(key, (entry.job, 0))
+        alike[key] = (job, count + entry.count)
+    for job, count in alike.values():
         team = teams.get(job.team)
         if team is None:
             continue
-        left = min(entry.count, int((team.cpus_max - used.get(job.team, 0.0) + _EPS) / job.cpus))
-        for room in rooms:
-            if left <= 0:
-                break
-            took = room.take(job, left)
-            left -= took
-            used[job.team] = used.get(job.team, 0.0) + job.cpus * took
-        while left > 0 and asked < most:
+        left = min(count, int((team.cpus_max - used.get(job.team, 0.0) + _EPS) / job.cpus))
+        took = rooms.take(job, left)
+        while took < left and asked < most:
             offer = _cheapest(job, offers, steady, overdue, wanted)
             if offer is None:
                 break
             wanted[offer.kind] = wanted.get(offer.kind, 0) + 1
             asked += 1
-            room = Room(
-                offer.type.name,
-                offer.zone,
-                offer.spot,
-                offer.type.cpus,
-                offer.type.gpus,
-                offer.type.memory_gb,
-            )
-            took = room.take(job, left)
-            left -= took
-            used[job.team] = used.get(job.team, 0.0) + job.cpus * took
-            rooms.append(room)
+            rooms.add_new(offer)
+            took += rooms.take(job, left - took)
+        used[job.team] = used.get(job.team, 0.0) + job.cpus * took
     return [(by_kind[kind], count) for kind, count in wanted.items()]
 
 
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -13,11 +13,11 @@
 from spindleglade.backfill.snapshot import Freeing, Plan, Unmet
 from spindleglade.clock import ZERO, Clock, seconds, sleep
 from spindleglade.fleet.client import MOST_RELEASED, MOST_RENTED, CloudClient, NoCapacity, Refused, Silent
-from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, rentals, soon_free
+from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, Rooms, rentals, soon_free
 from spindleglade.fleet.messages import Listed, MachineType, Rent
 from spindleglade.settings.operator import FleetSettings, WorkerSettings
 from spindleglade.tasks import spawn
-from spindleglade.web import NoAnswer, Requester
+from spindleglade.web import Crowded, NoAnswer, Requester
 from spindleglade.workers.attempts import Machine
 from spindleglade.workers.ledger import Ledger
 
@@ -75,7 +75,7 @@
         self._releasing: set[str] = set()
         self._probing: set[str] = set()
         self._unmet: list[Unmet] = []
-        self._freeing: Callable[[], list[Freeing]] = list
+        self._freeing: Callable[[], Freeing] = Freeing.nothing
         self._spare = 0.0
         self._used: dict[str, float] = {}
         self._stopped = False
@@ -142,6 +142,9 @@
         began = self._clock.now()
         try:
             await self._http.request("GET", machine.address, "/show", None, seconds(2))
+        except Crowded:
+            # Not asked, so nothing is learned.
+            pass
         except NoAnswer as error:
             with self._ledger.lock:
                 if machine.heard is None or machine.heard < began:
@@ -175,12 +178,12 @@
     def _rent(self, now: timedelta) -> None:
         if len(self._asking) >= 4:
             return
-        rooms = [
+        coming = [
             Room(boot.type.name, boot.zone, boot.spot, boot.type.cpus, boot.type.gpus, boot.type.memory_gb)
             for boot in self._booting.values()
         ]
         for rent, kind in self._asking.values():
-            rooms += [
+            coming += [
                 Room(rent.type, rent.zone, rent.spot, kind.cpus, kind.gpus, kind.memory_gb)
                 for _ in range(rent.count)
             ]
@@ -189,8 +192,9 @@
             for job in self._ledger.jobs.values():
                 used[job.spec.team] = used.get(job.spec.team, 0.0) + job.spec.cpus * len(job.placed)
         types = self._types()
+        rooms = Rooms(coming)
         if not self.ready:
-            rooms += soon_free(self._freeing(), {entry.name: entry.boot_s for entry in types})
+            soon_free(rooms, self._freeing(), {entry.name: entry.boot_s for entry in types})
         wanted = rentals(
             self._unmet,
             rooms,
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -1,11 +1,15 @@
 """What is rented for waiting work, and how refusals are remembered."""
 
+from dataclasses import replace
+
 import numpy as np
+from hypothesis import given
+from hypothesis import strategies as st
 
 from spindleglade.backfill.snapshot import Freeing, Unmet
 from spindleglade.backfill.test_planner import job, machine
 from spindleglade.clock import ManualClock, seconds
-from spindleglade.fleet.demand import Offer, Refusals, Room, rentals, soon_free
+from spindleglade.fleet.demand import Offer, Refusals, Room, Rooms, rentals, soon_free
 from spindleglade.fleet.manager import FleetManager
 from spindleglade.fleet.messages import MachineType
 from spindleglade.settings import Team
@@ -19,7 +23,7 @@
 
 
 def rent(unmet, booting=(), offers=OFFERS, used=0.0, steady=False, overdue=None):
-    found = rentals(unmet, list(booting), offers, TEAMS, {"t": used}, 50, steady, overdue)
+    found = rentals(unmet, Rooms(list(booting)), offers, TEAMS, {"t": used}, 50, steady, overdue)
     return [(offer.type.name, offer.spot, count) for offer, count in found]
 
 
@@ -49,10 +53,67 @@
 
 def test_what_frees_before_a_boot_is_room():
     view = machine("n-1", cpus=8.0, type="s")
-    tasks = np.array([(5.0, 4.0, 0.0, 1.0), (100.0, 2.0, 0.0, 1.0)])
-    freeing = Freeing(view, np.array([2.0, 0.0, 32.0]), tasks)
-    (room,) = soon_free([freeing], {"s": 20.0})
-    assert room.cpus == 6.0
+    freeing = Freeing(
+        [view],
+        np.array([(2.0, 0.0, 32.0)]),
+        np.array([0, 0]),
+        np.array([5.0, 100.0]),
+        np.array([(4.0, 0.0, 1.0), (2.0, 0.0, 1.0)]),
+    )
+    rooms = Rooms()
+    soon_free(rooms, freeing, {"s": 20.0})
+    assert rooms.take(job("job-1", 1.0), 20) == 6
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["s", "l"]),
+            st.sampled_from(["a", "b"]),
+            st.booleans(),
+            st.integers(0, 8),
+            st.integers(0, 2),
+            st.integers(0, 32),
+        ),
+        max_size=8,
+    ),
+    st.lists(
+        st.tuples(
+            st.sampled_from([1.0, 2.0, 3.5]),
+            st.sampled_from([0.0, 1.0]),
+            st.booleans(),
+            st.sampled_from([None, "a"]),
+            st.integers(1, 12),
+        ),
+        min_size=1,
+        max_size=5,
+    ),
+)
+def test_rooms_in_columns_are_filled_as_one_by_one(machines, asked):
+    """The plain form: each job goes from room to room and takes what it can."""
+    rooms = Rooms([Room(*entry[:3], *map(float, entry[3:])) for entry in machines])
+    plain = [list(entry) for entry in machines]
+    for cpus, gpus, spot, zone, most in asked:
+        work = replace(job("job-1", cpus, spot=spot, zone=zone), gpus=gpus, memory=4.0)
+        expected = 0
+        for room in plain:
+            while (
+                expected < most
+                and (spot or not room[2])
+                and (zone is None or zone == room[1])
+                and room[3] >= cpus
+                and room[4] >= gpus
+                and room[5] >= 4
+            ):
+                room[3], room[4], room[5] = room[3] - cpus, room[4] - gpus, room[5] - 4
+                expected += 1
+        assert rooms.take(work, most) == expected
+
+
+def test_like_work_is_rented_for_as_one():
+    """Hundreds of like jobs cost one look at the machines, and get what they would get one by one."""
+    jobs = [Unmet(job(f"job-{number}", 4.0), 1, False) for number in range(12)]
+    assert rent(jobs) == rent([Unmet(job("job-0", 4.0), 12, False)]) == [("s", True, 6)]
 
 
 def test_a_refused_kind_is_left_alone_for_longer_each_time():
--- a/spindleglade/settings/platform.py
+++ b/spindleglade/settings/platform.py
@@ -70,6 +70,12 @@
     list_lag_s: Amount = 0.0
 
 
+class MachineLimits(msgspec.Struct, frozen=True):
+    """What the machine allows a controller."""
+
+    sockets: Annotated[int, msgspec.Meta(ge=64)] = 1024
+
+
 class Params(msgspec.Struct, frozen=True):
     teams: list[Team]
     workers: WorkerTimes
@@ -77,6 +83,7 @@
     cloud: CloudLimits
     zones: list[str] = []
     objectives: list[Objective] = []
+    machine_limits: MachineLimits = MachineLimits()
 
 
 class Platform(msgspec.Struct, frozen=True):
--- a/spindleglade/web.py
+++ b/spindleglade/web.py
@@ -16,6 +16,9 @@
 from twisted.web.server import NOT_DONE_YET, Request, Site
 from zope.interface import implementer
 
+from spindleglade.clock import Clock
+from spindleglade.sockets import Sockets
+
 log = logging.getLogger("spindleglade.web")
 
 BODY_LIMIT = 64 * 1024
@@ -34,6 +37,10 @@
     """The connection was never made, so the request cannot have been carried out, now or later."""
 
 
+class Crowded(NotSent):
+    """This process has no connection to spare; it says nothing about the other side."""
+
+
 @implementer(IBodyProducer)
 class _Body:
     def __init__(self, body: bytes) -> None:
@@ -52,25 +59,48 @@
 
 
 class _TrackedEndpoint(TCP4ClientEndpoint):
-    """Connects by number; a failure to connect is told apart from a lost answer."""
+    """Connects by number; a failure to connect is told apart from a lost answer. Connections are counted from
+    the attempt to the end: one that hangs holds a socket too."""
+
+    sockets: Sockets | None = None
 
     def connect(self, factory: Any) -> defer.Deferred[Any]:
+        sockets = self.sockets
+
         def failed(failure: Any) -> Any:
+            if sockets is not None:
+                sockets.closed()
             if failure.check(defer.CancelledError):
                 return failure
             raise NotSent(failure.getErrorMessage())
 
-        return super().connect(factory).addErrback(failed)
+        def made(protocol: Any) -> Any:
+            if sockets is not None:
+                ended = protocol.connectionLost
+
+                def lost(reason: Any) -> None:
+                    sockets.closed()
+                    ended(reason)
+
+                protocol.connectionLost = lost
+            return protocol
+
+        if sockets is not None:
+            sockets.opened()
+        return super().connect(factory).addCallbacks(made, failed)
 
 
 @implementer(IAgentEndpointFactory)
 class _Endpoints:
-    def __init__(self, reactor: Any, connect_timeout: timedelta) -> None:
+    def __init__(self, reactor: Any, connect_timeout: timedelta, sockets: Sockets | None) -> None:
         self.reactor = reactor
         self.timeout = connect_timeout.total_seconds()
+        self.sockets = sockets
 
     def endpointForURI(self, uri: Any) -> TCP4ClientEndpoint:
-        return _TrackedEndpoint(self.reactor, uri.host.decode(), uri.port, timeout=self.timeout)
+        made = _TrackedEndpoint(self.reactor, uri.host.decode(), uri.port, timeout=self.timeout)
+        made.sockets = self.sockets
+        return made
 
 
 class Requester(Protocol):
@@ -86,8 +116,13 @@
         ...
 
 
+# How long a request waits for its turn where only so many may be under way.
+TURN_S = 0.5
+
+
 class HttpClient:
-    """Requests over kept connections; every call ends within its timeout."""
+    """Requests over kept connections; every call ends within its timeout. With `sockets`, only so many are
+    under way at a time, and connections are kept only while there are enough to spare."""
 
     def __init__(
         self,
@@ -95,14 +130,20 @@
         per_host: int,
         connect_timeout: timedelta = timedelta(seconds=2),
         idle: timedelta = timedelta(seconds=60),
+        sockets: Sockets | None = None,
     ) -> None:
         self._reactor = reactor
+        self._sockets = sockets
+        self._turns = None if sockets is None else defer.DeferredSemaphore(sockets.orders_at_once)
         pool = HTTPConnectionPool(reactor, persistent=True)
         pool.maxPersistentPerHost = per_host
         pool.cachedConnectionTimeout = idle.total_seconds()
         # A lost answer is the callers' business: only they know whether the request may be repeated.
         pool.retryAutomatically = False
-        self._agent = Agent.usingEndpointFactory(reactor, _Endpoints(reactor, connect_timeout), pool=pool)
+        self._pool = pool
+        self._agent = Agent.usingEndpointFactory(
+            reactor, _Endpoints(reactor, connect_timeout, sockets), pool=pool
+        )
         self._headers = Headers({b"Content-Type": [b"application/json"]})
 
     async def request(
@@ -114,6 +155,27 @@
         timeout: timedelta | None = None,
     ) -> Response:
         timeout = timeout or timedelta(seconds=5)
+        if self._sockets is None or self._turns is None:
+            return await self._request(method, address, path, body, timeout)
+        if not self._turns.tokens:
+            try:
+                await self._turns.acquire().addTimeout(TURN_S, self._reactor)
+            except defer.TimeoutError:
+                raise Crowded(f"{method} {path}: too many under way") from None
+        else:
+            await self._turns.acquire()
+        try:
+            if self._sockets.full:
+                raise Crowded(f"{method} {path}: no connection to spare")
+            return await self._request(method, address, path, body, timeout)
+        finally:
+            self._turns.release()
+            if self._sockets.crowded:
+                self._pool.closeCachedConnections()
+
+    async def _request(
+        self, method: str, address: str, path: str, body: bytes | None, timeout: timedelta
+    ) -> Response:
         sent = self._agent.request(
             method.encode(),
             f"http://{address}{path}".encode(),
@@ -190,20 +252,70 @@
 
 
 class _Channel(http.HTTPChannel):
-    # The platform bounds bodies; more than this is refused before it is held in memory.
-    maxLength = BODY_LIMIT
+    # When the last request came, or else the connection; and whether a worker sent it.
+    used = timedelta(0)
+    worker = False
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.used = self.site.clock.now()
+        self.site.channels.add(self)
+        self.site.sockets.opened()
+
+    def connectionLost(self, reason: Any) -> None:
+        self.site.channels.discard(self)
+        self.site.sockets.closed()
+        super().connectionLost(reason)
 
 
 class _Request(server.Request):
     def process(self) -> None:
         # All paths lead to one resource; finding it, and telling date and server, would cost each of hundreds
         # of reports a second a tenth of its time.
-        self.channel.site.resource.render(self)
+        channel = self.channel
+        channel.used = channel.site.clock.now()
+        channel.worker = self.path == REPORT_PATH
+        channel.site.resource.render(self)
+
+
+REPORT_PATH = b"/v1/report"
+# Users ask every few seconds; a connection that has been silent for so long is one that they have left, and
+# for the shorter time where connections run short.
+USERS_IDLE_S, USERS_CROWDED_S = 60.0, 15.0
 
 
-def site(handler: Handler) -> Site:
-    # Bodies are JSON; looking whether they are forms takes a quarter of a request's time.
-    made = Site(Endpoint(handler), requestFactory=_Request, timeout=None, parsePOSTFormSubmission=False)
+class CountedSite(Site):
+    """Knows its connections, and closes those that nobody uses: of machines that died or are cut off, of
+    users that reconnected. None of them tells that it is gone."""
+
+    def __init__(self, handler: Handler, sockets: Sockets, clock: Clock, workers_idle: timedelta) -> None:
+        # Bodies are JSON; looking whether they are forms takes a quarter of a request's time.
+        super().__init__(
+            Endpoint(handler), requestFactory=_Request, timeout=None, parsePOSTFormSubmission=False
+        )
+        self.channels: set[Any] = set()
+        self.sockets = sockets
+        self.clock = clock
+        self._workers_idle = workers_idle
+
+    def tidy(self) -> int:
+        """Closes what is idle; returns how many those were."""
+        now = self.clock.now()
+        users_idle = timedelta(seconds=USERS_CROWDED_S if self.sockets.crowded else USERS_IDLE_S)
+        idle = [
+            channel
+            for channel in self.channels
+            if now - channel.used > (self._workers_idle if channel.worker else users_idle)
+        ]
+        for channel in idle:
+            # At once: what is still to be written to a machine behind a cut would keep it open for ever.
+            channel.transport.abortConnection()
+        return len(idle)
+
+
+def site(handler: Handler, sockets: Sockets, clock: Clock, workers_idle: timedelta) -> CountedSite:
+    made = CountedSite(handler, sockets, clock, workers_idle)
+    made.protocol = _Channel
     made.displayTracebacks = False
     # The access log is off: it would cost more than the request itself.
     made.log = lambda request: None  # type: ignore[method-assign]
--- a/spindleglade/workers/dispatch.py
+++ b/spindleglade/workers/dispatch.py
@@ -8,7 +8,7 @@
 
 from spindleglade.clock import Clock
 from spindleglade.tasks import spawn
-from spindleglade.web import NoAnswer, NotSent, Requester, Response
+from spindleglade.web import Crowded, NoAnswer, NotSent, Requester, Response
 from spindleglade.workers.attempts import Deposed, Machine
 from spindleglade.workers.ledger import Ledger
 from spindleglade.workers.messages import Order, Orders, Report, decode_report
@@ -68,6 +68,9 @@
         unsure, reached, answer = False, True, None
         try:
             answer = await self._http.request("POST", machine.address, "/orders", body, self._timeout)
+        except Crowded as error:
+            # Left to the answer of its next report, or sent again; the machine may well hear.
+            log.info("orders left to the next report machine=%s reason=%s", machine.name, error)
         except NotSent as error:
             reached = False
             log.info("orders not sent machine=%s reason=%s", machine.name, error)
--- a/tests/world.py
+++ b/tests/world.py
@@ -246,6 +246,7 @@
             self.settings,
             life,
             SimHttp(self, name, life),
+            SimHttp(self, name, life),
             connect,
             compute,
         )
