A leader proves its term before it gives back or rents machines

The cloud knows no tokens. Releases and rentals now need a proof from the store no older than a lease and a proof's interval. The world test can freeze nodes; three new tests fail with their guards taken out.

--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -207,10 +207,17 @@
             self.client,
             self.cloud,
             self.types,
+            self._proven,
             self.election.step_down,
         )
         self.reign.start()
 
+    def _proven(self) -> bool:
+        """Whether the store has lately shown that this node leads: what the replica learns deposes it."""
+        confirmed = self.replica.confirmed
+        lasts = seconds(self._settings.store.confirm_s + self._settings.leadership.lease_s)
+        return confirmed is not None and self._clock.now() - confirmed <= lasts
+
     def _lost(self, reason: str) -> None:
         if self.reign is not None:
             reign, self.reign = self.reign, None
@@ -244,9 +251,8 @@
                 alone.clear()
                 continue
             # A value holds only so much.
-            most = max(
-                1, int(self._platform.params.state.value_kb * 1024 * 0.9) // (max(map(len, names)) + 3)
-            )
+            room = int(self._platform.params.state.value_kb * 1024 * 0.9)
+            most = max(1, room // (max(map(len, names)) + 3))
             for at in range(0, len(names), most):
                 key = f"{VOUCHED}{self._platform.name}/{at // most}"
                 # Conditional: a copy of this request that comes late must not vouch for machines once more.
@@ -262,7 +268,6 @@
         all siblings, though machines still reach it: another leads by now, or will, and nothing that this one
         decides can be recorded."""
         patience = max(self._platform.params.workers.report * 3, seconds(3))
-        unproven = seconds(self._settings.store.confirm_s + self._settings.leadership.lease_s)
         while True:
             before = self._clock.now()
             await sleep(self._clock, seconds(0.5))
@@ -271,11 +276,11 @@
                 # Busy, or on a slow processor: what it has not heard may only be late. The last node that all
                 # workers could reach once stepped down for being slow, and every lease ran out.
                 self._busy = self._clock.now()
-            if self._clock.now() - self._busy < unproven:
+            now = self._clock.now()
+            if now - self._busy < seconds(self._settings.store.confirm_s + self._settings.leadership.lease_s):
                 continue
-            now, confirmed = self._clock.now(), self.replica.confirmed
             siblings = not self._platform.siblings or any(link.up for link in self.links.links)
-            if siblings or (confirmed is not None and now - confirmed <= unproven):
+            if siblings or self._proven():
                 self._cut_off = None
             elif self._cut_off is None:
                 self._cut_off = now
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -24,7 +24,7 @@
 log = logging.getLogger("spindleglade.fleet")
 
 # Fewer machines that do not answer say nothing of this node.
-FEW = 5
+FEW = 3
 
 
 @dataclass(slots=True)
@@ -48,6 +48,7 @@
         workers: WorkerSettings,
         show: Callable[[Machine], Awaitable[None]],
         probes: int,
+        proven: Callable[[], bool],
         soonest: timedelta | None,
         changed: Callable[[], None],
         greet: Callable[[str, int], None],
@@ -80,6 +81,7 @@
         self._probing: set[str] = set()
         self._to_probe: dict[str, Machine] = {}
         self._probes = probes
+        self._proven = proven
         self._unmet: list[Unmet] = []
         self._freeing: Callable[[], Freeing] = Freeing.nothing
         self._spare = 0.0
@@ -120,6 +122,10 @@
                 return
             now = self._clock.now()
             self._arrived()
+            if not self._proven():
+                # The cloud knows no tokens and does what anybody asks. A leader that had stood still for
+                # 20 s, and did not know of its successor yet, once gave back every machine as silent.
+                continue
             self._probe(now)
             self._give_back(now)
             self._rent(now)
@@ -138,21 +144,16 @@
             missing = [machine for machine in machines if self._ledger.silent(machine, now, patience)]
             asked = [m for m in missing if m.mute is None]
             deaf = [m for m in machines if m.deaf is not None]
-            # Their leases are renewed by a node that cannot reach this one; they can be asked all the same, and
-            # are of use again. While nodes refused each other's links, two thirds of the machines stood idle.
-            vouched = [
-                m
-                for m in machines
-                if m.heard is not None
-                and now - m.heard > patience
-                and not self._ledger.silent(m, now, patience)
-            ]
+            # Their leases are renewed by a node that cannot reach this one; they can be asked all the same,
+            # and are of use again. While nodes refused each other's links, two thirds of all stood idle.
+            living = [m for m in machines if not self._ledger.silent(m, now, patience)]
+            vouched = [m for m in living if m.heard is not None and now - m.heard > patience]
         if len(missing) * 2 <= len(machines):
             vouched += asked + deaf
         unanswered, _, untried = self._ledger.contacts(now)
-        if len(unanswered) >= FEW:
+        if unanswered:
             # Is it they that do not hear, or this node that is not heard? Others tell.
-            vouched += untried[: len(unanswered)]
+            vouched += untried[: len(unanswered) + FEW]
         self._to_probe = {machine.name: machine for machine in vouched}
         self._probe_more()
 
@@ -210,7 +211,7 @@
         return offers
 
     def _rent(self, now: timedelta) -> None:
-        if len(self._asking) >= 4:
+        if len(self._asking) >= 4 or not self._proven():
             return
         coming = [
             Room(boot.type.name, boot.zone, boot.spot, boot.type.cpus, boot.type.gpus, boot.type.memory_gb)
@@ -446,5 +447,5 @@
                     types[machine.type], machine.zone, machine.spot, now - age
                 )
                 log.info("machine found machine=%s stage=%s", machine.name, machine.stage)
-        if failed:
+        if failed and self._proven():
             self._release(failed)
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -140,7 +140,7 @@
     assert rent(strict, offers=ordinary, overdue=frozenset()) == [("s", False, 1)]
 
 
-def manager(soonest):
+def manager(soonest, proven=True):
     """A fleet manager that is asked only for its judgement."""
     types = [MachineType("s", 8.0, 32.0, 1.0, 0.3, 20.0, 50.0, 0.25, 0.0, ["a"])]
     return FleetManager(
@@ -154,6 +154,7 @@
         WorkerSettings(),
         None,
         4,
+        lambda: proven,
         soonest,
         lambda: None,
         lambda address, session: None,
--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -43,6 +43,7 @@
         client: StateClient,
         cloud: CloudClient,
         types: TypeBook,
+        proven: Callable[[], bool],
         deposed: Callable[[str], None],
     ) -> None:
         self.term = term
@@ -54,6 +55,7 @@
         self._client = client
         self._cloud = cloud
         self._types = types
+        self._proven = proven
         self._deposed = deposed
         self._ended = False
         # Everything has been read: from here on it orders.
@@ -140,6 +142,7 @@
             own,
             self._dispatcher.show,
             Sockets(self._platform.params.machine_limits.sockets).orders_at_once // 2,
+            self._proven,
             self._platform.soonest_start,
             self._changed,
             self._dispatcher.greet,
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -33,6 +33,8 @@
                 "isolate_any",
                 "restart_leader",
                 "restart_all",
+                "freeze_leader",
+                "freeze_any",
             ]
         ),
         st.floats(2, 22),
@@ -98,6 +100,8 @@
     elif kind == "restart_all":
         for at in range(3):
             kill(world, at, seconds(0.1 + pick / 250))
+    elif kind.startswith("freeze"):
+        world.freeze_node(index, span)
     elif kind == "losses":
         world.lose = 0.1
         world.clock.later(span, setattr, world, "lose", 0.0)
@@ -289,6 +293,56 @@
     assert world.started == 1 and len(world.completed) == 1
 
 
+def test_a_leader_that_stood_still_gives_back_nothing():
+    """When it goes on it has heard of no machine for longer than any lease, and of no successor either; it
+    once gave back the whole fleet, which its successor was using."""
+    world, machine, leader = busy_world(14)
+    world.freeze_node(leader, seconds(20))
+    world.run(seconds(19))
+    assert any(node.leads for name, node in world.nodes.items() if name != world.node_names[leader])
+    world.run(seconds(42))
+    assert world.started == 1 and len(world.completed) == 1
+
+
+def test_a_leader_that_machines_do_not_hear_makes_room():
+    """Their reports come by way of its siblings, but no order reaches them. It took them all for deaf, and
+    nothing was placed for as long as that lasted."""
+    world = World(15, capacity=8)
+    world.run(seconds(3))
+    world.submit(1, threads=12, vcpus=5.0, run_s=40.0, crew="red")
+    world.submit(2, threads=12, vcpus=5.0, run_s=40.0, crew="blue")
+    world.run(seconds(20))
+    leader = world.leader()
+    machines = [worker.machine.address for worker in world.workers.values() if not worker.gone]
+    assert len(machines) >= 6
+    world.cut(world.node_names[leader], machines, True, seconds(30))
+    job = world.submit(3, threads=6, vcpus=1.0, run_s=1.0, urgency="critical")
+    world.run(seconds(12))
+    assert world.leader() not in (None, leader)
+    world.poll(job)
+    world.run(seconds(1))
+    assert world.told[job] == "done"
+
+
+def test_machines_of_nodes_that_cannot_reach_the_leader_are_used():
+    """The links between nodes are refused, and only the store tells the leader that those machines live."""
+    world = World(16, capacity=8)
+    world.run(seconds(3))
+    world.submit(1, threads=4, vcpus=5.0, run_s=1.0)
+    world.run(seconds(10))
+    names, leader = world.node_names, world.leader()
+    for worker in world.workers.values():
+        worker.at = (leader + 1) % 3
+    for name in names:
+        world.cut(name, names, False, seconds(20))
+    world.run(seconds(8))
+    assert world.leader() == leader
+    reign = world.nodes[names[leader]].reign
+    now = reign._clock.now()
+    assert reign.ledger.machines
+    assert all(reign.ledger.usable(machine, now) for machine in reign.ledger.machines.values())
+
+
 def test_a_task_behind_a_cut_with_one_node_runs_on():
     """That node cannot reach the leader; it renews the lease itself and vouches through the store."""
     world, machine, leader = busy_world(12)
--- a/tests/world.py
+++ b/tests/world.py
@@ -75,6 +75,8 @@
         self._clock = clock
         self._began = clock.now()
         self.alive = True
+        # Until then it stands still, while time goes on.
+        self.frozen = timedelta(0)
 
     def now(self) -> timedelta:
         return self._clock.now() - self._began
@@ -83,7 +85,16 @@
         return self._clock.utc()
 
     def later(self, delay: timedelta, call: Any, *args: Any) -> Any:
-        return self._clock.later(delay, lambda: call(*args) if self.alive else None)
+        def fire() -> None:
+            if not self.alive:
+                return
+            still = self.frozen - self._clock.now()
+            if still > timedelta(0):
+                self._clock.later(still, fire)
+            else:
+                call(*args)
+
+        return self._clock.later(delay, fire)
 
 
 class SimHttp:
@@ -172,11 +183,14 @@
     def _ping(self) -> None:
         for link in self.links:
             if link.up:
-                other = self._world.nodes[link.other]
-                link.state = other._hello()
-                self._saw(link.state)
+                self._world.lives[self._own].later(seconds(0.005), self._hear, link)
         self._world.lives[self._own].later(seconds(0.5), self._ping)
 
+    def _hear(self, link: SimLink) -> None:
+        if link.up:
+            link.state = self._world.nodes[link.other]._hello()
+            self._saw(link.state)
+
     def to(self, node: str) -> SimLink | None:
         return next((link for link in self.links if link.other == node and link.up), None)
 
@@ -260,6 +274,14 @@
             self.lives[name].alive = False
             del self.nodes[name]
 
+    def freeze_node(self, index: int, length: timedelta) -> None:
+        """It stands still; what is sent to it waits."""
+        name = self.node_names[index]
+        if name in self.nodes:
+            self.lives[name].frozen = self.clock.now() + length
+            machines = [worker.machine.address for worker in self.workers.values()]
+            self.cut(name, [*machines, *self.node_names, "state", "cloud", "user"], True, length)
+
     def leader(self) -> int | None:
         return next(
             (at for at, name in enumerate(self.node_names) if name in self.nodes and self.nodes[name].leads),
