--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -25,7 +25,7 @@
 from spindleglade.submissions.api import UserApi
 from spindleglade.submissions.records import JOBS, PREFIX, VOUCHED, JobRecord, JobViews
 from spindleglade.tasks import keep
-from spindleglade.web import Answer, HttpClient, Requester, site
+from spindleglade.web import Answer, HttpClient, Requester, Turns, site
 from spindleglade.workers.api import WorkerApi
 from spindleglade.workers.messages import Report, ReportAnswer, decode_report
 from spindleglade.workers.relay import Relays
@@ -58,7 +58,7 @@
         settings,
         clock,
         HttpClient(reactor, per_host=8),
-        HttpClient(reactor, per_host=1, sockets=sockets),
+        Turns(HttpClient(reactor, per_host=1, sockets=sockets), clock, sockets),
         connect,
         partial(deferToThreadPool, reactor, pool),
     )
--- a/spindleglade/clock.py
+++ b/spindleglade/clock.py
@@ -3,6 +3,7 @@
 `now` is steady time since the process started; `utc` is the time of day, used only for log lines.
 """
 
+import heapq
 import time
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
@@ -43,25 +44,51 @@
         return self._reactor.callLater(max(0.0, delay.total_seconds()), call, *args)
 
 
+class _Timer:
+    def __init__(self, call: Callable[..., Any], args: tuple[Any, ...]) -> None:
+        self._call: Callable[..., Any] | None = call
+        self._args = args
+
+    def active(self) -> bool:
+        return self._call is not None
+
+    def cancel(self) -> None:
+        self._call = None
+
+    def fire(self) -> None:
+        call, self._call = self._call, None
+        if call is not None:
+            call(*self._args)
+
+
 class ManualClock:
-    """A clock for tests: time moves only by `advance`, timers run in order."""
+    """A clock for tests: time moves only by `advance`, timers run in order. A heap, since the test of a whole
+    fleet has thousands of timers."""
 
     def __init__(self) -> None:
-        from twisted.internet.task import Clock as TwistedClock
-
-        self.twisted = TwistedClock()
+        self._now = ZERO
+        self._timers: list[tuple[timedelta, int, _Timer]] = []
+        self._made = 0
 
     def now(self) -> timedelta:
-        return timedelta(seconds=self.twisted.seconds())
+        return self._now
 
     def utc(self) -> datetime:
         return datetime(2026, 1, 1, tzinfo=UTC) + self.now()
 
     def later(self, delay: timedelta, call: Callable[..., Any], *args: Any) -> Any:
-        return self.twisted.callLater(max(0.0, delay.total_seconds()), call, *args)
+        timer = _Timer(call, args)
+        self._made += 1
+        heapq.heappush(self._timers, (self._now + max(ZERO, delay), self._made, timer))
+        return timer
 
     def advance(self, delay: timedelta) -> None:
-        self.twisted.advance(delay.total_seconds())
+        end = self._now + delay
+        while self._timers and self._timers[0][0] <= end:
+            at, _, timer = heapq.heappop(self._timers)
+            self._now = max(self._now, at)
+            timer.fire()
+        self._now = end
 
 
 async def sleep(clock: Clock, delay: timedelta) -> None:
--- a/spindleglade/web.py
+++ b/spindleglade/web.py
@@ -116,13 +116,8 @@
         ...
 
 
-# How long a request waits for its turn where only so many may be under way.
-TURN_S = 0.5
-
-
 class HttpClient:
-    """Requests over kept connections; every call ends within its timeout. With `sockets`, only so many are
-    under way at a time, and connections are kept only while there are enough to spare."""
+    """Requests over kept connections, counted in `sockets`; every call ends within its timeout."""
 
     def __init__(
         self,
@@ -133,8 +128,6 @@
         sockets: Sockets | None = None,
     ) -> None:
         self._reactor = reactor
-        self._sockets = sockets
-        self._turns = None if sockets is None else defer.DeferredSemaphore(sockets.orders_at_once)
         pool = HTTPConnectionPool(reactor, persistent=True)
         pool.maxPersistentPerHost = per_host
         pool.cachedConnectionTimeout = idle.total_seconds()
@@ -155,27 +148,6 @@
         timeout: timedelta | None = None,
     ) -> Response:
         timeout = timeout or timedelta(seconds=5)
-        if self._sockets is None or self._turns is None:
-            return await self._request(method, address, path, body, timeout)
-        if not self._turns.tokens:
-            try:
-                await self._turns.acquire().addTimeout(TURN_S, self._reactor)
-            except defer.TimeoutError:
-                raise Crowded(f"{method} {path}: too many under way") from None
-        else:
-            await self._turns.acquire()
-        try:
-            if self._sockets.full:
-                raise Crowded(f"{method} {path}: no connection to spare")
-            return await self._request(method, address, path, body, timeout)
-        finally:
-            self._turns.release()
-            if self._sockets.crowded:
-                self._pool.closeCachedConnections()
-
-    async def _request(
-        self, method: str, address: str, path: str, body: bytes | None, timeout: timedelta
-    ) -> Response:
         sent = self._agent.request(
             method.encode(),
             f"http://{address}{path}".encode(),
@@ -191,11 +163,55 @@
         except Exception as error:
             raise NoAnswer(f"{method} {path}: {type(error).__name__} {error}") from None
 
+    def let_go(self) -> None:
+        """Closes the connections that are kept and not in use."""
+        self._pool.closeCachedConnections()
+
     @staticmethod
     def _read(response: Any) -> defer.Deferred[Response]:
         return readBody(response).addCallback(lambda body: Response(response.code, body))
 
 
+# How long a request waits for its turn.
+TURN = timedelta(seconds=0.5)
+
+
+class Turns:
+    """Lets only so many requests be under way at a time, and keeps connections only while there are enough to
+    spare. After all controllers have restarted, a leader has something to say to every machine at once."""
+
+    def __init__(self, http: Any, clock: Clock, sockets: Sockets) -> None:
+        self._http = http
+        self._clock = clock
+        self._sockets = sockets
+        self._turns = defer.DeferredSemaphore(sockets.orders_at_once)
+
+    async def request(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None = None,
+        timeout: timedelta | None = None,
+    ) -> Response:
+        turn = self._turns.acquire()
+        late = None if turn.called else self._clock.later(TURN, turn.cancel)
+        try:
+            await turn
+        except defer.CancelledError:
+            raise Crowded(f"{method} {path}: too many under way") from None
+        if late is not None and late.active():
+            late.cancel()
+        try:
+            if self._sockets.full:
+                raise Crowded(f"{method} {path}: no connection to spare")
+            return await self._http.request(method, address, path, body, timeout)
+        finally:
+            self._turns.release()
+            if self._sockets.crowded:
+                self._http.let_go()
+
+
 class Answer(NamedTuple):
     """What an interface answers: a status, a JSON body, and when to come back."""
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from bisect import bisect_right
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -73,10 +74,11 @@
         self._notify()
 
     def _changes(self, prefix: str, since: int) -> list[dict]:
+        first = bisect_right(self.log, since, key=lambda change: change["mark"])
         return [
             change
-            for change in self.log
-            if change["mark"] > since and (change.get("set") or change["remove"]).startswith(prefix)
+            for change in self.log[first:]
+            if (change.get("set") or change["remove"]).startswith(prefix)
         ]
 
     def _notify(self) -> None:
@@ -198,6 +200,8 @@
         self.answers: dict[str, list[str]] = {}
         self.made = 0
         self.trouble = False
+        # Machines on one page of the list.
+        self.page = 5
 
     def handle(self, method: str, path: str, body: bytes) -> Reply:
         if self.trouble:
@@ -214,7 +218,7 @@
             return self._rent(decode(body))
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
         names = [name for name in self.machines if name > query.get("since", "")]
-        page = names[: min(int(query["page"]), 5)]
+        page = names[: min(int(query["page"]), self.page)]
         return reply(
             200,
             {"spindles": [self._show(self.machines[n]) for n in page], "has_next": len(page) < len(names)},
@@ -307,6 +311,7 @@
         self.latest = clock.now()
         self.gone = False
         self.warning: timedelta | None = None
+        self.due = report
         self._schedule()
         self._check_lease()
 
@@ -328,7 +333,8 @@
             self.tally = 0
             self.answered = self.clock.now()
             self.changed = True
-        self.clock.later(seconds(0.1), self._check_lease)
+        left = self.answered + self.lease - self.clock.now()
+        self.clock.later(max(seconds(0.05), left + seconds(0.01)), self._check_lease)
 
     def show(self) -> dict:
         self.tally += 1
@@ -351,10 +357,11 @@
         if self.gone:
             return
         since = self.clock.now() - self.latest
-        due = self.report_every * self.rng.uniform(0.75, 1.25)
-        if not self.in_flight and (since >= due or (self.changed and since >= seconds(0.5))):
+        if not self.in_flight and (since >= self.due or (self.changed and since >= seconds(0.5))):
+            self.due = self.report_every * self.rng.uniform(0.75, 1.25)
             self._report()
-        self.clock.later(seconds(0.1), self._schedule)
+        # A change has to wait for half a second at the most, so nothing needs a closer look.
+        self.clock.later(min(seconds(0.25), self.report_every / 10), self._schedule)
 
     def _report(self) -> None:
         self.in_flight, self.changed = True, False
