--- /dev/null
+++ b/tests/test_whole_fleet.py
@@ -0,0 +1,105 @@
+"""One day of a whole fleet: everything restarts while it is loaded, then a zone is cut off and its packets
+are held. What the operators call a failed day is checked at the end, the rules all the time."""
+
+from datetime import timedelta
+
+from spindleglade.clock import seconds
+from tests.world import Deployment, World
+
+MACHINES = 240
+TEAMS = tuple({"name": name, "cpus": 300.0, "cpus_max": 900.0} for name in ("red", "blue", "green"))
+# Sockets for every worker at one node, and hardly more.
+FLEET = Deployment(
+    capacity=MACHINES,
+    report=seconds(2.5),
+    lease=seconds(8),
+    teams=TEAMS,
+    cloud_rps=6.0,
+    sockets=256,
+)
+CLASSES = {
+    "flag": {"vcpus": 1.0, "threads": 20, "run_s": 3.0, "reckon_s": 3.0, "urgency": "high"},
+    "clean": {"vcpus": 2.0, "threads": 40, "run_s": 12.0, "reckon_s": 12.0},
+    "decode": {"vcpus": 8.0, "threads": 30, "run_s": 12.0, "reckon_s": 12.0},
+}
+LAST_TROUBLE = seconds(58)
+
+
+class Day:
+    def __init__(self, seed: int) -> None:
+        self.world = World(seed, deployment=FLEET)
+        self.world.cloud.page = 500
+        self.jobs: dict[str, tuple[str, str, bool]] = {}
+        for at in range(100):
+            self.world.clock.later(seconds(1 + at / 2), self.submit, at)
+        self.world.clock.later(seconds(24), self.restart_everything)
+        self.world.clock.later(seconds(40), self.cut_zone)
+
+    def submit(self, number: int) -> None:
+        name = ("flag", "flag", "clean", "flag", "decode")[number % 5]
+        team = TEAMS[number % len(TEAMS)]["name"]
+        # Each seventh is one of its class's largest.
+        large = number % 7 == 0
+        fields = CLASSES[name] | {"bobbin": name, "crew": team}
+        if large:
+            fields["threads"] *= 4
+        job = self.world.submit(number, **fields)
+        self.jobs[job] = (name, team, large)
+        self.poll(job)
+
+    def poll(self, job: str) -> None:
+        """Like a user: every few seconds until it is done."""
+        if self.world.told.get(job) != "done":
+            self.world.poll(job)
+            self.world.clock.later(seconds(5), self.poll, job)
+
+    def restart_everything(self) -> None:
+        """All controllers end within three seconds, and are back after a while or at once; a fifth of the
+        machines are lost without notice at the same time."""
+        world = self.world
+        for at, (ends, back) in enumerate(((0.0, 4.0), (1.0, 0.2), (2.5, 3.0))):
+            world.clock.later(seconds(ends), world.kill_node, at)
+            world.clock.later(seconds(ends + back), world.start_node, at)
+        for name in sorted(world.workers)[: MACHINES // 5]:
+            world.kill_machine(name)
+
+    def cut_zone(self) -> None:
+        world = self.world
+        inside = [name for name, node in world.nodes.items() if node._platform.zone == "b"]
+        outside = [name for name in world.nodes if name not in inside]
+        length = LAST_TROUBLE - world.clock.now()
+        machines = [w.machine.address for w in world.workers.values() if w.machine.zone == "b"]
+        assert inside and len(machines) > MACHINES // 4
+        for name in outside:
+            world.cut(name, machines + inside, True, length)
+        for name in inside:
+            world.cut(name, ["state", "cloud", "user"], True, length)
+
+    def shares(self, key: int) -> dict:
+        """By class, team or size: how much of its jobs is done."""
+        found: dict = {}
+        for job, of in self.jobs.items():
+            found.setdefault(of[key] if key < 2 else (of[0], of[2]), []).append(
+                self.world.told.get(job) == "done"
+            )
+        return {name: sum(done) / len(done) for name, done in found.items()}
+
+
+def test_the_whole_fleet_restarts_and_a_zone_is_cut_off():
+    day = Day(31)
+    world = day.world
+    # The rules are checked in there.
+    world.run(LAST_TROUBLE + seconds(75), timedelta(milliseconds=200))
+    assert len(day.jobs) == 100
+    for job in day.jobs:
+        assert job in world.accepted
+        answered = world.answered.get(job, timedelta(0))
+        assert answered > LAST_TROUBLE or world.told.get(job) == "done", f"{job} is forgotten"
+    assert set(day.shares(0)) == set(CLASSES) and min(day.shares(0).values()) >= 0.5
+    assert len(day.shares(1)) == len(TEAMS) and min(day.shares(1).values()) >= 0.5
+    assert len(day.shares(2)) == 2 * len(CLASSES) and min(day.shares(2).values()) >= 0.5
+    waits = [world.began.get(job, seconds(1e6)) - world.sent[job] for job in day.jobs]
+    assert max(waits) < seconds(240)
+    # Nearly all workers came to one node while the others were away, and it had something to say to each.
+    assert MACHINES * 3 // 4 < world.most_open <= FLEET.sockets
+    assert world.started > 2000
--- a/tests/world.py
+++ b/tests/world.py
@@ -2,6 +2,7 @@
 loses, holds back and repeats. Every rule of the protocol is checked at the moment it could be broken."""
 
 import random
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
@@ -13,11 +14,12 @@
 from spindleglade.leadership.links import Forward, Forwarded, LinkDown, Ping, Relay, Relayed
 from spindleglade.settings import OperatorSettings, Platform
 from spindleglade.settings.platform import Sibling
+from spindleglade.sockets import Sockets
 from spindleglade.tasks import spawn
-from spindleglade.web import NoAnswer, NotSent, Response
+from spindleglade.web import NoAnswer, NotSent, Response, Turns
 from tests.standins import Cloud, Machine, Reply, StateService, Worker, decode, encode
 
-REPORT, LEASE, CANCEL = seconds(1), seconds(6), seconds(20)
+CANCEL = seconds(20)
 TYPES = [
     {
         "name": "m8",
@@ -38,8 +40,24 @@
 ]
 
 
-def platform(index: int, nodes: int) -> Platform:
-    names = [f"node-{at}" for at in range(nodes)]
+@dataclass(frozen=True)
+class Deployment:
+    """What a world is like."""
+
+    nodes: int = 3
+    # Machines that the cloud has.
+    capacity: int = 5
+    report: timedelta = seconds(1)
+    lease: timedelta = seconds(6)
+    teams: tuple[dict, ...] = tuple(TEAMS)
+    rps: float = 300.0
+    write_rps: float = 100.0
+    cloud_rps: float = 5.0
+    sockets: int = 1024
+
+
+def platform(index: int, at: Deployment) -> Platform:
+    names = [f"node-{number}" for number in range(at.nodes)]
     return msgspec.convert(
         {
             "node": names[index],
@@ -47,21 +65,22 @@
             "client_listen": f"10.0.0.{index}:1",
             "peer_bind": f"10.0.0.{index}:2",
             "siblings": [
-                {"node": name, "zone": "a", "endpoint": f"10.0.0.{at}:2"}
-                for at, name in enumerate(names)
-                if at != index
+                {"node": name, "zone": "a", "endpoint": f"10.0.0.{number}:2"}
+                for number, name in enumerate(names)
+                if number != index
             ],
             "external": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"},
             "params": {
                 "zones": ["a", "b"],
-                "teams": TEAMS,
+                "teams": list(at.teams),
                 "workers": {
-                    "report_s": REPORT.total_seconds(),
-                    "lease_s": LEASE.total_seconds(),
+                    "report_s": at.report.total_seconds(),
+                    "lease_s": at.lease.total_seconds(),
                     "cancel_s": CANCEL.total_seconds(),
                 },
-                "state": {"rps": 300.0, "write_rps": 100.0, "value_kb": 16.0, "txn_ops": 12},
-                "cloud": {"rps": 5.0, "list_lag_s": 1.0},
+                "state": {"rps": at.rps, "write_rps": at.write_rps, "value_kb": 16.0, "txn_ops": 12},
+                "cloud": {"rps": at.cloud_rps, "list_lag_s": 1.0},
+                "machine_limits": {"sockets": at.sockets},
             },
         },
         Platform,
@@ -127,14 +146,22 @@
         target = self._world.names.get(address, address)
         if self._world.refuses(self._name, target):
             raise NotSent("refused")
+        sockets = self._world.sockets[self._name]
+        if target.startswith("n-"):
+            self._world.opened(sockets)
         self._world.carry(self._name, target, method, path, body or b"", answered)
         timer = self._life.later(timeout or seconds(5), late)
         try:
             return await waiter
         finally:
+            if target.startswith("n-"):
+                sockets.closed()
             if timer.active():
                 timer.cancel()
 
+    def let_go(self) -> None:
+        """Nothing is kept here."""
+
 
 class SimLink:
     def __init__(self, world: "World", own: str, other: str) -> None:
@@ -199,22 +226,29 @@
     def __init__(
         self,
         seed: int,
-        nodes: int = 3,
         capacity: int = 5,
         error: float = 0.0,
         settings: OperatorSettings | None = None,
+        deployment: Deployment | None = None,
     ) -> None:
         self.settings = settings or OperatorSettings()
+        self.at = deployment or Deployment(capacity=capacity)
         self.clock = ManualClock()
         self.rng = random.Random(seed)
         self.error = error
         self.state = StateService(self.clock)
-        self.cloud = Cloud(self.clock, self.rng, TYPES, capacity, self._machine_up, self._machine_down)
+        self.cloud = Cloud(
+            self.clock, self.rng, TYPES, self.at.capacity, self._machine_up, self._machine_down
+        )
         self.workers: dict[str, Worker] = {}
-        self.node_names = [f"node-{at}" for at in range(nodes)]
+        self.node_names = [f"node-{at}" for at in range(self.at.nodes)]
         self.names = {"10.2.0.1:1": "state", "10.2.0.2:1": "cloud"}
         self.nodes: dict[str, Node] = {}
         self.lives: dict[str, LifeClock] = {}
+        # Each node's connections to machines and from workers, and the most that there ever were.
+        self.sockets: dict[str, Sockets] = {}
+        self.connections: dict[str, Sockets] = {}
+        self.most_open = 0
         # Cut pairs, and the packets held back between them (None: thrown away).
         self.cuts: dict[frozenset[str], list | None] = {}
         self.refused: set[str] = set()
@@ -233,10 +267,14 @@
         self.aborted_at: dict[str, timedelta] = {}
         # Where each task is, and what was broken.
         self.on: dict[str, set[str]] = {}
+        # CPUs that each team uses, and when each job was sent and began.
+        self.used: dict[str, float] = {}
+        self.sent: dict[str, timedelta] = {}
+        self.began: dict[str, timedelta] = {}
         self.started = 0
         self.completed: set[str] = set()
         self.broken: list[str] = []
-        for index in range(nodes):
+        for index in range(self.at.nodes):
             self.start_node(index)
 
     # Processes.
@@ -255,12 +293,13 @@
             await waiter
             return work(*args)
 
+        self.sockets[name] = sockets = Sockets(self.at.sockets)
         node = Node(
-            platform(index, len(self.node_names)),
+            platform(index, self.at),
             self.settings,
             life,
             SimHttp(self, name, life),
-            SimHttp(self, name, life),
+            Turns(SimHttp(self, name, life), life, sockets),
             connect,
             compute,
         )
@@ -325,7 +364,7 @@
 
         self._pass(source, target, arrive)
         if path == "/v1/report" and self.rng.random() < self.copies:
-            late = seconds(self.rng.uniform(1, 2.5 * LEASE.total_seconds()))
+            late = seconds(self.rng.uniform(1, 2.5 * self.at.lease.total_seconds()))
             other = self.rng.choice(self.node_names)
             self.clock.later(late, self._copy, source, other, method, path, body)
         elif source in self.node_names and method == "POST" and self.rng.random() < self.repeats:
@@ -381,6 +420,7 @@
                     settled.append(True)
                     answered(answer)
 
+            self._connected(machine.address, node)
             if self.refuses(machine.name, node):
                 self.clock.later(seconds(0.001), once, None)
                 return
@@ -393,8 +433,8 @@
             self.rng,
             machine,
             TYPES[0],
-            REPORT,
-            LEASE,
+            self.at.report,
+            self.at.lease,
             self.jobs,
             self.node_names,
             send,
@@ -404,6 +444,19 @@
             self.error,
         )
 
+    def _connected(self, worker: str, node: str) -> None:
+        """A worker keeps its connection until it goes to another node, or that node's process ends."""
+        before = self.connections.pop(worker, None)
+        if before is not None:
+            before.closed()
+        if node in self.nodes:
+            self.connections[worker] = self.sockets[node]
+            self.opened(self.sockets[node])
+
+    def opened(self, sockets: Sockets) -> None:
+        sockets.opened()
+        self.most_open = max(self.most_open, sockets.open)
+
     def _machine_down(self, name: str) -> None:
         if name in self.workers:
             self.workers[name].end()
@@ -430,25 +483,23 @@
             self.broken.append(f"wrong_place {task} on {machine}")
         zones = [
             self.workers[name].machine.zone
-            for other, names in self.on.items()
-            if other.rpartition("/")[0] == job_id
-            for name in names
+            for index in range(job["threads"])
+            for name in self.on.get(f"{job_id}/{index}", ())
         ]
         if job["together"] and len(set(zones)) > 1:
             self.broken.append(f"wrong_place {task}: not together")
         if job["scatter"] and max(zones.count(zone) for zone in zones) > (job["threads"] + 1) // 2:
             self.broken.append(f"wrong_place {task}: not scattered")
-        for team in TEAMS:
-            used = sum(
-                self.jobs[other.rpartition("/")[0]]["vcpus"] * len(names)
-                for other, names in self.on.items()
-                if self.jobs[other.rpartition("/")[0]]["crew"] == team["name"]
-            )
-            if used > team["cpus_max"] + 1e-9:
-                self.broken.append(f"quota {team['name']} {used}")
+        crew = job["crew"]
+        used = self.used[crew] = self.used.get(crew, 0.0) + job["vcpus"]
+        if used > next(team["cpus_max"] for team in self.at.teams if team["name"] == crew) + 1e-9:
+            self.broken.append(f"quota {crew} {used}")
+        self.began.setdefault(job_id, now)
 
     def _task_off(self, machine: str, task: str) -> None:
         self.on.get(task, set()).discard(machine)
+        job = self.jobs[task.rpartition("/")[0]]
+        self.used[job["crew"]] -= job["vcpus"]
         worker = self.workers[machine]
         if any(entry.name == task and entry.cause == "done" for entry in worker.tasks.values()):
             self.completed.add(task)
@@ -501,6 +552,7 @@
             "run_s": 4.0,
         } | fields
         self.jobs[job_id] = job
+        self.sent[job_id] = self.clock.now()
 
         def told(status: int, body: bytes) -> None:
             if status in (400, 404, 422):
@@ -566,7 +618,7 @@
             self.state.expire()
             for job_id, at in self.aborted_at.items():
                 if self.clock.now() - at > CANCEL and any(
-                    names and task.rpartition("/")[0] == job_id for task, names in self.on.items()
+                    self.on.get(f"{job_id}/{index}") for index in range(self.jobs[job_id]["threads"])
                 ):
                     self.broken.append(f"ran_cancelled {job_id} still on a machine")
             assert not self.broken, self.broken
