--- a/spindleglade/settings/test_settings.py
+++ b/spindleglade/settings/test_settings.py
@@ -76,6 +76,14 @@
     assert path[-1] in str(error.value) and "\n" not in str(error.value)
 
 
+@pytest.mark.parametrize("sockets", [None, 0, 63, -1, "many", 1.5])
+def test_a_machine_with_too_few_sockets_to_serve_with_is_refused(tmp_path, sockets):
+    with pytest.raises(SettingsError, match="params.machine_limits.sockets"):
+        load_platform(write(tmp_path, changed(("params", "machine_limits"), {"sockets": sockets})))
+    loaded = load_platform(write(tmp_path, changed(("params", "machine_limits"), {"sockets": 64})))
+    assert loaded.params.machine_limits.sockets == 64
+
+
 @pytest.mark.parametrize("path", PATHS)
 def test_a_missing_field_is_named(tmp_path, path):
     with pytest.raises(SettingsError, match=path[-1]):
