--- a/spindleglade/test_web.py
+++ b/spindleglade/test_web.py
@@ -42,7 +42,7 @@
 
 
 def test_only_so_many_messages_to_machines_are_under_way():
-    """After a change of leader every machine is greeted; at once, that would be more than there are sockets."""
+    """After a change of leader every machine is greeted, at once with more than there are sockets."""
     http, clock, sockets = Slow(), ManualClock(), Sockets(320)
     turns = Turns(http, clock, sockets)
     results = asked(turns, sockets.orders_at_once + 5)
