Room within its team's limit is kept for an overdue job

Ruled out: the machines (idle ones were given back meanwhile) and the 16 changes of leader in 180 s. The new test's job never starts without the rule.

--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -121,6 +121,8 @@
         for machine in snapshot.machines:
             for team, (cpus, gpus) in machine.used.items():
                 self._use(team, cpus, gpus)
+        # Of the teams' limits, what is kept for their overdue jobs: CPUs and GPUs.
+        self.kept: dict[str, tuple[float, float]] = {}
         self.head: JobView | None = None
         self.head_tasks = 1
         # For each machine that is a unit for the head, the room a candidate may take without taking the unit.
@@ -139,6 +141,8 @@
         if team is None:
             return 0
         cpus, gpus = (team.cpus, team.gpus) if guarantee else (team.cpus_max, team.gpus_max)
+        if not guarantee and not job.overdue and job.team in self.kept:
+            cpus, gpus = cpus - self.kept[job.team][0], gpus - self.kept[job.team][1]
         most = (cpus - self.used_cpus.get(job.team, 0.0) + _EPS) / job.cpus
         if job.gpus > 0:
             most = min(most, (gpus - self.used_gpus.get(job.team, 0.0) + _EPS) / job.gpus)
@@ -181,6 +185,11 @@
     def _place_job(self, job: JobView, refused: set[tuple], full: set[tuple]) -> None:
         limit = self._room(job, guarantee=False)
         wanted = min(len(job.waiting), limit)
+        if job.overdue and not limit:
+            # Its team is at its limit. What the team's tasks free in single CPUs would go to its small ones
+            # for ever: one of 13 tasks waited for 214 s.
+            cpus, gpus = self.kept.get(job.team, (0.0, 0.0))
+            self.kept[job.team] = cpus + job.cpus, gpus + job.gpus
         # Held only by its team's limit: no reservation, others need not make way for it.
         if not wanted or (job.whole and wanted < len(job.waiting)):
             return
--- a/spindleglade/backfill/test_planner.py
+++ b/spindleglade/backfill/test_planner.py
@@ -251,6 +251,31 @@
     assert starts_after(60) in range(60, 75)
 
 
+def test_an_overdue_job_is_not_starved_by_its_own_teams_small_ones():
+    """The team "u" is at its limit of 12 CPUs. Each round one CPU of it comes free, and small tasks of high
+    priority wait for it; without what is kept for the overdue job it never gets its four."""
+
+    def rounds(overdue):
+        small = 12
+        for number in range(8):
+            small -= 1
+            views = [machine("n-1", [running(1.0, team="u") for _ in range(small)], cpus=64.0)]
+            jobs = [
+                job("job-1", 4.0, waiting=9, team="u", overdue=overdue),
+                job("job-2", 1.0, waiting=9, team="u", rank=2),
+                job("job-3", 1.0, team="t"),
+            ]
+            made = [name for name, _ in started(plan(jobs, views))]
+            assert "job-3" in made
+            if "job-1" in made:
+                return number
+            small += made.count("job-2")
+        return None
+
+    assert rounds(False) is None
+    assert rounds(True) == 3
+
+
 def test_among_equals_the_preferred_kind_of_machine_is_used_first():
     """Ordinary machines that work was spread over stood half empty at four times the price."""
     views = [machine("n-1"), machine("n-2", spot=True)]
