--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -3,17 +3,19 @@
 from dataclasses import replace
 
 import numpy as np
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from spindleglade.backfill.snapshot import Freeing, Unmet
+from spindleglade.backfill.snapshot import Freeing, Plan, Unmet
 from spindleglade.backfill.test_planner import job, machine
 from spindleglade.clock import ManualClock, seconds
 from spindleglade.fleet.demand import Offer, Refusals, Room, Rooms, rentals, soon_free
 from spindleglade.fleet.manager import FleetManager
-from spindleglade.fleet.messages import MachineType
+from spindleglade.fleet.messages import Listed, MachineType
 from spindleglade.settings import Team
 from spindleglade.settings.operator import FleetSettings, WorkerSettings
+from spindleglade.workers.attempts import Machine
 from spindleglade.workers.test_ledger import make_ledger
 
 SMALL = MachineType("s", 8.0, 32.0, 1.0, 0.3, 20.0, 50.0, 1.0, 0.0, ["a"])
@@ -140,13 +142,28 @@
     assert rent(strict, offers=ordinary, overdue=frozenset()) == [("s", False, 1)]
 
 
-def manager(soonest, proven=True):
+class RecordingCloud:
+    def __init__(self):
+        self.asked = []
+
+    async def rent(self, rent):
+        self.asked.append("rent")
+        return []
+
+    async def release(self, names):
+        self.asked.append(names)
+
+    async def machines(self):
+        return [Listed("n-2", "x:2", "s", "a", True, "failed", 9.0)]
+
+
+def manager(soonest, proven=True, cloud=None, clock=None):
     """A fleet manager that is asked only for its judgement."""
     types = [MachineType("s", 8.0, 32.0, 1.0, 0.3, 20.0, 50.0, 0.25, 0.0, ["a"])]
     return FleetManager(
         make_ledger(),
-        None,
-        ManualClock(),
+        cloud,
+        clock or ManualClock(),
         7,
         lambda: types,
         ["a"],
@@ -164,3 +181,16 @@
 def test_machines_stand_ready_only_where_work_must_start_sooner_than_one_boots():
     assert manager(seconds(4)).ready
     assert not manager(seconds(50)).ready and not manager(None).ready
+
+
+@pytest.mark.parametrize("proven", [True, False])
+def test_nothing_is_rented_or_given_back_without_a_term(proven):
+    """The cloud does what anybody asks, a leader of long ago too."""
+    clock, cloud = ManualClock(), RecordingCloud()
+    fleet = manager(None, proven, cloud, clock)
+    fleet._ledger.machines["n-1"] = Machine("n-1", "", "s", "a", True, heard=seconds(0))
+    fleet.demand(Plan(unmet=[Unmet(job("job-1", 4.0), 1, False)]))
+    clock.advance(seconds(60))
+    fleet.start()
+    clock.advance(seconds(2))
+    assert cloud.asked == ([["n-2"], ["n-1"], "rent"] if proven else [])
--- a/spindleglade/leadership/test_leadership.py
+++ b/spindleglade/leadership/test_leadership.py
@@ -9,7 +9,8 @@
 
 from spindleglade.clock import ManualClock, seconds
 from spindleglade.leadership.election import LEADER, Election, LeaderRecord
-from spindleglade.leadership.links import Forward, Forwarded, Ping, Relay, Relayed, decode_message
+from spindleglade.leadership.links import Forward, Forwarded, Link, Ping, Relay, Relayed, decode_message
+from spindleglade.settings.platform import Sibling
 from spindleglade.store.client import Condition, Refused
 from tests.world import World
 
@@ -167,3 +168,40 @@
     world.poll(job)
     world.run(seconds(1))
     assert world.told[job] == "done"
+
+
+class Wire:
+    """A connection that takes what is sent and says nothing."""
+
+    def __init__(self):
+        self.sent = []
+        self.transport = self
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def abortConnection(self):
+        self.sent.clear()
+
+
+def test_a_word_from_before_standing_still_shows_no_term():
+    """A process that goes on after 20 s first reads what its siblings said before: it would have taken that
+    for a proof that it still leads."""
+    clock, wire = ManualClock(), Wire()
+    link = Link(None, clock, Sibling("other", "a", "10.0.0.1:1"), seconds(0.5), lambda: ping)
+    ping = Ping("other", 1, False, 0)
+
+    async def connect(host, port):
+        link._connection = wire
+
+    link._connect = connect
+    link.start()
+    clock.advance(seconds(0.1))
+    link._received(wire, ping)
+    assert link.shown == seconds(0)
+    clock.advance(seconds(1))
+    assert len(wire.sent) == 3
+    # The second ping's answer is read 20 s late, before any timer.
+    clock._now += seconds(20)
+    link._received(wire, ping)
+    assert link.heard == clock.now() and link.shown == seconds(0.5)
