Send orders in the order they fall due: a set's order changed from process to process

Cause: the ledger kept the machines that are due for orders in a set of names, and Python gives names other hashes in each process. The jobs that a record batch ends are kept in order too.

--- a/spindleglade/workers/attempts.py
+++ b/spindleglade/workers/attempts.py
@@ -245,7 +245,7 @@
     done: list[tuple[str, int, JobRecord]] = field(default_factory=list)
     # Chunks to remove, and the jobs that are over with them.
     removed: list[tuple[str, str]] = field(default_factory=list)
-    over: set[str] = field(default_factory=set)
+    over: dict[str, None] = field(default_factory=dict)
 
     @property
     def size(self) -> int:
--- a/spindleglade/workers/ledger.py
+++ b/spindleglade/workers/ledger.py
@@ -69,10 +69,11 @@
         self.dirty: dict[tuple[str, int], None] = {}
         # Those of them with a start that waits for its record.
         self.starting: dict[tuple[str, int], None] = {}
-        # Machines that may have something to be sent straight. One that has not leaves the set, and is put in
-        # again by whatever may change that: its report, a record, an order answered, a stop. Looking at all
-        # that wait for their records, each time, took a third of the leader's time after a restart.
-        self.due: set[str] = set()
+        # Machines that may have something to be sent straight, the longest first. One that has not leaves,
+        # and is put in again by whatever may change that: its report, a record, an order answered, a stop.
+        # Looking at all that wait for their records, each time, took a third of the leader's time after a
+        # restart. While it was a set, chance chose which came first, and no test ran the same way twice.
+        self.due: dict[str, None] = {}
         self.learned: set[str] = set()
         # Whether work goes to ordinary machines before spot ones, or the other way round.
         self.ordinary_first = False
@@ -158,7 +159,7 @@
         machine = self.machines.get(assignment.machine)
         if machine is not None:
             self._touch(machine)
-            self.due.add(machine.name)
+            self.due[machine.name] = None
 
     def loaded(self) -> None:
         with self.lock:
@@ -286,7 +287,7 @@
             elif current:
                 self._absent(machine, assignment, key)
             if not assignment.over and (not assignment.seen or assignment.stop is not None):
-                self.due.add(machine.name)
+                self.due[machine.name] = None
         machine.strays.clear()
         for key in [key for key in machine.lying if key not in listed]:
             # Cleared. An unsure start of it could still land, so that mark stays.
@@ -326,7 +327,7 @@
         with self.lock:
             machine.deaf = None
             machine.reached = now
-            self.due.add(machine.name)
+            self.due[machine.name] = None
 
     def contacts(self, now: timedelta) -> tuple[list[Machine], list[Machine], list[Machine]]:
         """The machines heard of late, by what became of the latest message straight to them: unanswered,
@@ -533,7 +534,7 @@
             machine = self.machines.get(name)
             if machine is not None and not machine.address:
                 machine.address, machine.zone = address, zone
-                self.due.add(name)
+                self.due[name] = None
 
     def vouch(self, names: list[str], now: timedelta) -> None:
         """A sibling renews these machines' leases: they live, though nothing is heard of them here."""
@@ -605,7 +606,7 @@
         """Orders to send straight to machines: those that bear no waiting for the next report."""
         found = []
         with self.lock:
-            due, self.due = self.due, set()
+            due, self.due = self.due, {}
             for name in due:
                 machine = self.machines.get(name)
                 if (
@@ -639,7 +640,7 @@
         is false where not even a connection was made."""
         with self.lock:
             machine.sending = False
-            self.due.add(machine.name)
+            self.due[machine.name] = None
             if unsure or not reached:
                 machine.unreached = now
                 self._deaf(machine, now, "does not answer orders")
@@ -663,7 +664,7 @@
             job.committed_versions[number] = max(job.committed_versions.get(number, 0), version)
             for index, assignment in job.placed.items():
                 if index // job.chunk == number and not assignment.seen:
-                    self.due.add(assignment.machine)
+                    self.due[assignment.machine] = None
 
     def finished(self, job_id: str, mark: int) -> None:
         """The record says that the job is done."""
@@ -717,7 +718,8 @@
                         break
                     self._collect(batch, at, room, stored)
             # Jobs with chunks left over are not forgotten yet.
-            batch.over -= {job_id for job_id, _ in self.dirty}
+            for job_id, _ in self.dirty:
+                batch.over.pop(job_id, None)
             return batch
 
     def _collect(self, batch: Batch, at: tuple[str, int], most: int, stored: dict[str, int]) -> None:
@@ -735,7 +737,7 @@
                     batch.removed.append((job_id, key))
                 else:
                     self.dirty[at] = None
-            batch.over.add(job_id)
+            batch.over[job_id] = None
         else:
             version = job.versions.get(number, 0)
             batch.chunks.append((job_id, job.mark if job.open else None, number, version, job.encode(number)))
@@ -834,7 +836,7 @@
                 job.hungry = now
                 self._changed(job, start.index)
                 self.starting[(job.id, start.index // job.chunk)] = None
-                self.due.add(machine.name)
+                self.due[machine.name] = None
                 assignment = Assignment(
                     job,
                     start.index,
