Say each thing once: what fits a job, how long a proof lasts, what a value holds

How many tasks fit is worked out by the job view, for one machine or for many (was: five places). The probe asks each machine once whether it is silent, and keeps what the contacts say of this node (was: worked out twice each half second). Where something may be stopped, and its least loss, are worked out only when something waits that may stop it. The list of machines takes the ledger's lock once.

--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -106,7 +106,7 @@
         settings: OperatorSettings,
         clock: Clock,
         http: Requester,
-        machines: Requester,
+        machines: Turns,
         connect: Callable[..., Siblings],
         compute: Compute,
     ) -> None:
@@ -152,6 +152,8 @@
         self._stand_back = timedelta(0)
         # When it last made room because the machines did not hear it.
         self._resigned = -RESIGN_AGAIN
+        # How long after it was shown to lead by the store a node may take itself for the leader.
+        self._proof_lasts = seconds(settings.store.confirm_s + settings.leadership.lease_s)
         # When this process last ran late.
         self._busy = timedelta(days=-1)
         self.reign: Reign | None = None
@@ -216,13 +218,11 @@
         """Whether this node has lately been shown that it leads, since what it learns of a later term deposes
         it: by the store, by a sibling that reaches the store, or, in an outage of it, by all siblings.
         Machines that die then are given up without waiting for its end."""
-        confirmed, now = self.replica.confirmed, self._clock.now()
-        lasts = seconds(self._settings.store.confirm_s + self._settings.leadership.lease_s)
-        if confirmed is not None and now - confirmed <= lasts:
+        confirmed = self.replica.confirmed
+        if confirmed is not None and self._clock.now() - confirmed <= self._proof_lasts:
             return True
-        recent = seconds(self._settings.leadership.ping_s * 4)
         links = self.links.links
-        shown = [link for link in links if link.shown is not None and now - link.shown <= recent]
+        shown = [link for link in links if link.shown_lately]
         return bool(shown) and (len(shown) == len(links) or any(map(self._serving, shown)))
 
     def _lost(self, reason: str) -> None:
@@ -257,9 +257,7 @@
             if not names:
                 alone.clear()
                 continue
-            # A value holds only so much.
-            room = int(self._platform.params.state.value_kb * 1024 * 0.9)
-            most = max(1, room // (max(map(len, names)) + 3))
+            most = max(1, self.client.limits.value_bytes // (max(map(len, names)) + 3))
             for at in range(0, len(names), most):
                 key = f"{VOUCHED}{self._platform.name}/{at // most}"
                 # Conditional: a copy of this request that comes late must not vouch for machines once more.
@@ -284,7 +282,7 @@
                 # workers could reach once stepped down for being slow, and every lease ran out.
                 self._busy = self._clock.now()
             now = self._clock.now()
-            if now - self._busy < seconds(self._settings.store.confirm_s + self._settings.leadership.lease_s):
+            if now - self._busy < self._proof_lasts:
                 continue
             siblings = not self._platform.siblings or any(link.up for link in self.links.links)
             if siblings or self._proven():
@@ -297,7 +295,7 @@
             if reign is None or not reign.active or not self._platform.siblings:
                 continue
             if (
-                reign.unheard()
+                reign.unheard
                 and any(self._serving(link) for link in self.links.links)
                 and self._clock.now() - self._resigned > RESIGN_AGAIN
             ):
--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -13,12 +13,14 @@
 
 from dataclasses import replace
 from datetime import timedelta
+from functools import cached_property
 
 import numpy as np
 from numpy.typing import NDArray
 
 from spindleglade.backfill.probability import Reservation
 from spindleglade.backfill.snapshot import (
+    EPS,
     Freeing,
     JobView,
     MachineView,
@@ -36,7 +38,6 @@
 Counts = NDArray[np.int64]
 
 
-_EPS = 1e-6
 # Tasks stopped in one round; the rest waits for the next.
 _MOST_STOPS = 24
 # Machines looked at closely for one task.
@@ -130,6 +131,10 @@
         self.reservation: Reservation | None = None
         # Units that tasks which passed the head have taken in this round.
         self.taken = 0
+        # Tasks stopped in this round, whatever the views say.
+        self.stopped: set[tuple[str, int]] = set()
+        # What stopping could free on each machine, by the rank it would be for.
+        self.stoppable: dict[int, Array] = {}
 
     def _use(self, team: str, cpus: float, gpus: float) -> None:
         self.used_cpus[team] = self.used_cpus.get(team, 0.0) + cpus
@@ -143,10 +148,7 @@
         cpus, gpus = (team.cpus, team.gpus) if guarantee else (team.cpus_max, team.gpus_max)
         if not guarantee and not job.overdue and job.team in self.kept:
             cpus, gpus = cpus - self.kept[job.team][0], gpus - self.kept[job.team][1]
-        most = (cpus - self.used_cpus.get(job.team, 0.0) + _EPS) / job.cpus
-        if job.gpus > 0:
-            most = min(most, (gpus - self.used_gpus.get(job.team, 0.0) + _EPS) / job.gpus)
-        return max(0, int(most))
+        return job.fitting(cpus - self.used_cpus.get(job.team, 0.0), gpus - self.used_gpus.get(job.team, 0.0))
 
     def _within(self, job: JobView, guarantee: bool) -> bool:
         return self._room(job, guarantee) > 0
@@ -252,13 +254,8 @@
 
     def _fits(self, job: JobView) -> Counts:
         """How many tasks of the job each machine has room for."""
-        cpus, gpus, memory = self._unclaimed(job)
-        fits = (cpus + _EPS) / job.cpus
-        if job.gpus > 0:
-            fits = np.minimum(fits, (gpus + _EPS) / job.gpus)
-        if job.memory > 0:
-            fits = np.minimum(fits, (memory + _EPS) / job.memory)
-        return np.where(self._allowed(job), np.maximum(fits, 0.0), 0.0).astype(np.int64)
+        fits = job.fitting_each(np.column_stack(self._unclaimed(job)))
+        return np.where(self._allowed(job), fits, 0.0).astype(np.int64)
 
     def _order(self, job: JobView, fits: Counts) -> Counts:
         """Where a task runs soonest; among those, the kind of machine preferred here, and the fullest first,
@@ -373,7 +370,7 @@
         what would then be left over, for the tasks that must end their places and machines, and all ends and
         weights."""
         where, rows, expected, ends, weights = self._outlook()
-        need = np.array([job.cpus, job.gpus, job.memory]) - _EPS
+        need = np.array([job.cpus, job.gpus, job.memory]) - EPS
         free = np.column_stack(self._unclaimed(job))
         order = np.lexsort((expected, where))
         at = where[order]
@@ -396,7 +393,7 @@
         unit = allowed & np.isfinite(ready)
         ending = np.arange(len(order)) <= last[at]
         ending &= unit[at]
-        return unit, ready, left - need - _EPS, order[ending], at[ending], ends, weights
+        return unit, ready, left - need - EPS, order[ending], at[ending], ends, weights
 
     def _reserve(self) -> Reservation:
         """The head's reservation; made only once something asks to go before it."""
@@ -417,12 +414,7 @@
         spare = self.spare.get(at)
         if spare is None:
             return wanted
-        beside = int((spare[0] + _EPS) / job.cpus)
-        if job.gpus > 0:
-            beside = min(beside, int((spare[1] + _EPS) / job.gpus))
-        if job.memory > 0:
-            beside = min(beside, int((spare[2] + _EPS) / job.memory))
-        count = min(wanted, max(0, beside))
+        count = min(wanted, job.fitting(*spare))
         if count < wanted and job.like() not in refused:
             self.plan.checks += 1
             ends, weights = self.predictor.remaining(job.team, job.estimate, timedelta(0))
@@ -467,8 +459,6 @@
 
     def _make_room(self) -> None:
         """Stops running work for waiting work that the protocol puts above it."""
-        # Stopped in this round, whatever the views say.
-        self.stopped: set[tuple[str, int]] = set()
         # What earlier rounds have stopped or promised, though it still runs or waits: counted as it was, the
         # same excess would be taken again each round until its team is far below its guarantee.
         claimed: dict[str, int] = {}
@@ -481,18 +471,6 @@
                 other = self.by_id.get(claimant)
                 if other is not None:
                     self._use(other.team, other.cpus * count, other.gpus * count)
-        # Where something may be stopped, or is.
-        self.rooms = [
-            at
-            for at, machine in enumerate(self.machines)
-            if any(task.stopping or self._stoppable(task) for task in machine.tasks)
-        ]
-        # What stopping could free on each machine, by the rank it would be for.
-        self.stoppable: dict[int, Array] = {}
-        self.least = np.full(len(self.machines), np.inf)
-        for at in self.rooms:
-            losses = [self._loss(t) * t.cpus for t in self.machines[at].tasks if self._stoppable(t)]
-            self.least[at] = min(losses, default=0.0)
         every = self.preempt != "guarantees"
         refused: set[tuple] = set()
         wanting = [unmet for unmet in self.plan.unmet if unmet.guaranteed or (every and unmet.job.rank > 0)]
@@ -509,6 +487,26 @@
                     refused.add(like)
                     break
 
+    @cached_property
+    def rooms(self) -> list[int]:
+        """Where something may be stopped, or is."""
+        return [
+            at
+            for at, machine in enumerate(self.machines)
+            if any(task.stopping or self._stoppable(task) for task in machine.tasks)
+        ]
+
+    @cached_property
+    def least(self) -> Array:
+        """The least that a stop on each machine loses."""
+        found = np.full(len(self.machines), np.inf)
+        for at in self.rooms:
+            losses = [
+                self._loss(task) * task.cpus for task in self.machines[at].tasks if self._stoppable(task)
+            ]
+            found[at] = min(losses, default=0.0)
+        return found
+
     def _stoppable(self, task: Running) -> bool:
         """Where only work that can save is stopped, it must also have run for a while: else it would run in
         circles, fetching its image and saving by turns."""
@@ -528,7 +526,7 @@
         if team is None:
             return self.preempt == "all"
         used = self.used_cpus.get(victim.team, 0.0) - freed.get(victim.team, 0.0)
-        beyond = used - victim.cpus >= team.cpus - _EPS
+        beyond = used - victim.cpus >= team.cpus - EPS
         if guaranteed and beyond and victim.team != job.team:
             return True
         if self.preempt != "all" or (beyond != (not guaranteed) and victim.team != job.team):
@@ -558,7 +556,7 @@
         Hundreds of machines looked through for each of hundreds of jobs, though next to none had anything to
         stop for them, made rounds of more than a second."""
         free = np.column_stack(self._unclaimed(None)) + self._freed_for(job.rank)
-        enough = (free + _EPS >= (job.cpus, job.gpus, job.memory)).all(axis=1) & self._allowed(job)
+        enough = (job.fitting_each(free) > 0) & self._allowed(job)
         rooms = np.array(self.rooms, np.int64)
         able = rooms[enough[rooms]]
         if len(able) > _MOST_LOOKED:
@@ -579,7 +577,7 @@
                 (task, task.stopping or (task.job, task.index) in self.stopped) for task in machine.tasks
             ]
             for task, stopping in sorted(tasks, key=lambda at: (not at[1], at[0].rank, self._loss(at[0]))):
-                if job.cpus <= cpus + _EPS and job.gpus <= gpus + _EPS and job.memory <= memory + _EPS:
+                if job.fitting(cpus, gpus, memory):
                     break
                 if not stopping:
                     if not self._may_stop(job, guaranteed, task, freed):
@@ -590,7 +588,7 @@
                 cpus += task.cpus
                 gpus += task.gpus
                 memory += task.memory
-            if not (job.cpus <= cpus + _EPS and job.gpus <= gpus + _EPS and job.memory <= memory + _EPS):
+            if not job.fitting(cpus, gpus, memory):
                 continue
             if best_loss is None or loss < best_loss:
                 best, best_loss = (int(at), chosen), loss
--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -1,5 +1,6 @@
 """What a planning round is given, and what it gives back."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -12,6 +13,9 @@
 
 Array = NDArray[np.float64]
 
+# Room in CPUs, GPUs and memory comes of sums and differences: what lacks less than this is there.
+EPS = 1e-6
+
 
 @dataclass(slots=True)
 class Running:
@@ -144,6 +148,21 @@
         """Tasks with the same key fit the same machines."""
         return (self.cpus, self.gpus, self.memory, self.types, self.zone, self.spot)
 
+    def fitting(self, cpus: float, gpus: float, memory: float = math.inf) -> int:
+        """How many of its tasks fit into that."""
+        most = (cpus + EPS) / self.cpus
+        if self.gpus > 0:
+            most = min(most, (gpus + EPS) / self.gpus)
+        if self.memory > 0:
+            most = min(most, (memory + EPS) / self.memory)
+        return max(0, int(most))
+
+    def fitting_each(self, free: Array) -> Array:
+        """The same for many machines at once, a row of CPUs, GPUs and memory each."""
+        need = np.array((self.cpus, self.gpus, self.memory))
+        asked = need > 0
+        return np.maximum(np.floor((free[:, asked] + EPS) / need[asked]).min(axis=1), 0.0)
+
     @property
     def plain(self) -> bool:
         """Where one task may go does not depend on where the others are."""
--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -10,15 +10,14 @@
 from typing import NamedTuple
 
 import numpy as np
-from numpy.typing import NDArray
+from numpy.typing import ArrayLike, NDArray
 
-from spindleglade.backfill.snapshot import Freeing, JobView, MachineView, Unmet
+from spindleglade.backfill.snapshot import EPS, Freeing, JobView, MachineView, Unmet
 from spindleglade.fleet.messages import MachineType
 from spindleglade.settings.platform import Team
 
 Array = NDArray[np.float64]
 
-_EPS = 1e-6
 Kind = tuple[str, str, bool]
 
 
@@ -57,34 +56,30 @@
 
     def __init__(self, rooms: Sequence[Room] = ()) -> None:
         self._kinds: dict[Kind, int] = {}
-        self._codes = np.array([self._code(room[:3]) for room in rooms], np.int64)
-        self._free = np.array([room[3:] for room in rooms], float).reshape(-1, 3)
+        self._codes = np.zeros(0, np.int64)
+        self._free = np.zeros((0, 3))
+        self._add([room[:3] for room in rooms], [room[3:] for room in rooms])
 
-    def _code(self, kind: Kind) -> int:
-        return self._kinds.setdefault(kind, len(self._kinds))
+    def _add(self, kinds: list[Kind], free: ArrayLike) -> None:
+        codes = [self._kinds.setdefault(kind, len(self._kinds)) for kind in kinds]
+        self._codes = np.append(self._codes, np.array(codes, np.int64))
+        self._free = np.vstack((self._free, np.reshape(free, (-1, 3))))
 
     def add(self, machines: Sequence[MachineView], free: Array) -> None:
-        codes = np.array([self._code((view.type, view.zone, view.spot)) for view in machines], np.int64)
-        self._codes = np.concatenate((self._codes, codes))
-        self._free = np.vstack((self._free, free))
+        self._add([(view.type, view.zone, view.spot) for view in machines], free)
 
     def add_new(self, offer: Offer) -> None:
-        kind = offer.type
-        self._codes = np.append(self._codes, self._code(offer.kind))
-        self._free = np.vstack((self._free, (kind.cpus, kind.gpus, kind.memory_gb)))
+        self._add([offer.kind], (offer.type.cpus, offer.type.gpus, offer.type.memory_gb))
 
     def take(self, job: JobView, most: int) -> int:
         """Puts up to that many tasks of the job into the rooms; returns how many fitted."""
         suits = np.array([_suits(job, *kind) for kind in self._kinds], bool)
         if most <= 0 or not suits.any():
             return 0
-        need = np.array((job.cpus, job.gpus, job.memory))
-        asked = need > 0
-        fits = np.floor((self._free[:, asked] + _EPS) / need[asked]).min(axis=1)
-        fits = np.where(suits[self._codes], np.maximum(fits, 0.0), 0.0)
+        fits = np.where(suits[self._codes], job.fitting_each(self._free), 0.0)
         before = np.cumsum(fits) - fits
         taken = np.clip(most - before, 0.0, fits)
-        self._free -= taken[:, None] * need
+        self._free -= taken[:, None] * np.array((job.cpus, job.gpus, job.memory))
         return int(taken.sum())
 
 
@@ -108,15 +103,6 @@
     )
 
 
-def _per_machine(job: JobView, type: MachineType) -> int:
-    fits = [type.cpus / job.cpus]
-    if job.gpus > 0:
-        fits.append(type.gpus / job.gpus)
-    if job.memory > 0:
-        fits.append(type.memory_gb / job.memory)
-    return int(min(fits) + _EPS)
-
-
 def _alike(entry: Unmet, overdue: frozenset[str] | None) -> tuple:
     """Work with the same key is rented for as one: it fits the same machines and counts against the same
     limit. A queue of hundreds of jobs over hundreds of machines, each job by itself, took a third of the
@@ -150,7 +136,7 @@
         team = teams.get(job.team)
         if team is None:
             continue
-        left = min(count, int((team.cpus_max - used.get(job.team, 0.0) + _EPS) / job.cpus))
+        left = min(count, int((team.cpus_max - used.get(job.team, 0.0) + EPS) / job.cpus))
         took = rooms.take(job, left)
         while took < left and asked < most:
             offer = _cheapest(job, offers, steady, overdue, wanted)
@@ -177,7 +163,7 @@
     cost. With `overdue`, work that may use spot machines gets ordinary ones only if its job is in it."""
     best, best_score = None, None
     for offer in offers:
-        fits = _per_machine(job, offer.type)
+        fits = job.fitting(offer.type.cpus, offer.type.gpus, offer.type.memory_gb)
         if fits == 0 or not _suits(job, offer.type.name, offer.zone, offer.spot):
             continue
         if overdue is not None and job.spot and not offer.spot and job.id not in overdue:
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -64,6 +64,8 @@
         self._soonest = soonest
         # Since when each job has had tasks that found no room.
         self._waiting_since: dict[str, timedelta] = {}
+        # A machine that has been silent for so long has missed reports.
+        self._patience = ledger.rules.report * 2 + seconds(0.5)
         self._silence = ledger.rules.lease + seconds(workers.silence_margin_s)
         # A machine that misses so many reports and does not answer either is given up before its lease ends.
         self._early = max(ledger.rules.report * workers.silent_reports, seconds(4))
@@ -86,6 +88,9 @@
         self._freeing: Callable[[], Freeing] = Freeing.nothing
         self._spare = 0.0
         self._used: dict[str, float] = {}
+        # Whether this node's messages reach none or few of the machines, though theirs arrive by way of its
+        # siblings: it is cut off from them, and another would lead better.
+        self.unheard = False
         self._stopped = False
 
     def start(self) -> None:
@@ -122,6 +127,7 @@
                 return
             now = self._clock.now()
             self._arrived()
+            self.unheard = False
             if not self._proven():
                 # The cloud knows no tokens and does what anybody asks. A leader that had stood still for
                 # 20 s, and did not know of its successor yet, once gave back every machine as silent.
@@ -138,23 +144,28 @@
     def _probe(self, now: timedelta) -> None:
         """Asks the machines that have missed reports straight. Where most of them have, it is this node that
         is cut off, and nothing is concluded."""
-        patience = self._ledger.rules.report * 2 + seconds(0.5)
+        missing, living, deaf = [], [], []
         with self._ledger.lock:
-            machines = [machine for machine in self._ledger.machines.values() if machine.address]
-            missing = [machine for machine in machines if self._ledger.silent(machine, now, patience)]
-            asked = [m for m in missing if m.mute is None]
-            deaf = [m for m in machines if m.deaf is not None]
+            for machine in self._ledger.machines.values():
+                if not machine.address:
+                    continue
+                silent = self._ledger.silent(machine, now, self._patience)
+                (missing if silent else living).append(machine)
+                if machine.deaf is not None:
+                    deaf.append(machine)
             # Their leases are renewed by a node that cannot reach this one; they can be asked all the same,
             # and are of use again. While nodes refused each other's links, two thirds of all stood idle.
-            living = [m for m in machines if not self._ledger.silent(m, now, patience)]
-            vouched = [m for m in living if m.heard is not None and now - m.heard > patience]
-        if len(missing) * 2 <= len(machines):
-            vouched += asked + deaf
-        unanswered, _, untried = self._ledger.contacts(now)
+            wanted = [m for m in living if m.heard is not None and now - m.heard > self._patience]
+            if len(missing) <= len(living):
+                wanted += [m for m in missing if m.mute is None] + deaf
+        unanswered, answered, untried = self._ledger.contacts(now)
         if unanswered:
             # Is it they that do not hear, or this node that is not heard? Others tell.
-            vouched += untried[: len(unanswered) + FEW]
-        self._to_probe = {machine.name: machine for machine in vouched}
+            wanted += untried[: len(unanswered) + FEW]
+        tried = len(unanswered) + len(answered)
+        enough = min(4 * FEW, tried + len(untried))
+        self.unheard = tried >= enough and len(unanswered) >= max(FEW, len(answered) * 2)
+        self._to_probe = {machine.name: machine for machine in wanted}
         self._probe_more()
 
     def _probe_more(self) -> None:
@@ -166,13 +177,6 @@
                 self._probing.add(name)
                 spawn(self._ask_machine(machine), "probe")
 
-    def unheard(self) -> bool:
-        """Whether this node's messages reach none or few of the machines, though theirs arrive by way of its
-        siblings: it is cut off from them, and another would lead better."""
-        unanswered, answered, untried = self._ledger.contacts(self._clock.now())
-        tried = len(unanswered) + len(answered)
-        return len(unanswered) >= max(FEW, len(answered) * 2) and tried >= min(4 * FEW, tried + len(untried))
-
     async def _ask_machine(self, machine: Machine) -> None:
         began = self._clock.now()
         try:
@@ -378,9 +382,8 @@
         """Zones most of which fell silent together: that is a cut, not machines that died one by one. Their
         workers need some seconds to find a node that they reach, and it some more to vouch for them."""
         seen: dict[str, list[bool]] = {}
-        patience = self._ledger.rules.report * 2 + seconds(0.5)
         for machine in self._ledger.machines.values():
-            seen.setdefault(machine.zone, []).append(self._ledger.silent(machine, now, patience))
+            seen.setdefault(machine.zone, []).append(self._ledger.silent(machine, now, self._patience))
         return {zone for zone, silent in seen.items() if sum(silent) >= max(3, len(silent) / 2)}
 
     def _release(self, names: dict[str, str]) -> None:
@@ -426,11 +429,16 @@
                 for machine in self._ledger.machines.values()
                 if machine.placed
             }
+        self._ledger.found(
+            [
+                (machine.name, machine.address, machine.zone)
+                for machine in listed
+                if machine.stage == "running" and machine.name not in self._releasing
+            ]
+        )
         for machine in listed:
             if machine.name in self._releasing:
                 continue
-            if machine.stage == "running":
-                self._ledger.found(machine.name, machine.address, machine.zone)
             if machine.stage == "running" and machine.name not in (self._greeted | proven | gone):
                 self._greeted.add(machine.name)
                 self._greet(machine.address, sessions.get(machine.name, 1))
--- a/spindleglade/leadership/links.py
+++ b/spindleglade/leadership/links.py
@@ -137,11 +137,14 @@
 
     @property
     def up(self) -> bool:
-        return (
-            self._connection is not None
-            and self.heard is not None
-            and self._clock.now() - self.heard < self._ping * 4
-        )
+        return self._connection is not None and self._lately(self.heard)
+
+    @property
+    def shown_lately(self) -> bool:
+        return self._lately(self.shown)
+
+    def _lately(self, at: timedelta | None) -> bool:
+        return at is not None and self._clock.now() - at < self._ping * 4
 
     def start(self) -> None:
         keep(self._clock, self._run, "link")
--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -17,11 +17,10 @@
 from spindleglade.fleet.types import TypeBook
 from spindleglade.leadership.election import Term
 from spindleglade.settings import OperatorSettings, Platform
-from spindleglade.sockets import Sockets
 from spindleglade.store.client import Put, StateClient, TooOld, Unavailable, Unknown, raw
 from spindleglade.submissions.records import HISTORY, JOBS, PREFIX, TASKS, Chunk, JobRecord, split_chunk_key
 from spindleglade.tasks import spawn
-from spindleglade.web import Requester
+from spindleglade.web import Turns
 from spindleglade.workers.attempts import Deposed, Rules
 from spindleglade.workers.dispatch import Dispatcher
 from spindleglade.workers.ledger import Ledger
@@ -39,7 +38,7 @@
         settings: OperatorSettings,
         clock: Clock,
         compute: Callable[..., Awaitable[Any]],
-        http: Requester,
+        machines: Turns,
         client: StateClient,
         cloud: CloudClient,
         types: TypeBook,
@@ -51,7 +50,7 @@
         self._settings = settings
         self._clock = clock
         self._compute = compute
-        self._http = http
+        self._machines = machines
         self._client = client
         self._cloud = cloud
         self._types = types
@@ -129,7 +128,7 @@
             ledger, self._client, self._clock, self.term, marks, self._committed, self._deposed
         )
         self._dispatcher = Dispatcher(
-            ledger, self._http, self._clock, seconds(own.order_timeout_s), self._deposed, self._changed
+            ledger, self._machines, self._clock, seconds(own.order_timeout_s), self._deposed, self._changed
         )
         self._fleet = FleetManager(
             ledger,
@@ -141,7 +140,7 @@
             self._settings.fleet,
             own,
             self._dispatcher.show,
-            Sockets(self._platform.params.machine_limits.sockets).orders_at_once // 2,
+            self._machines.at_once // 2,
             self._proven,
             self._platform.soonest_start,
             self._changed,
@@ -183,8 +182,9 @@
             age = max(age, self._clock.utc() - record.accepted)
         ledger.take_job(record, mark, self._clock.now(), age)
 
+    @property
     def unheard(self) -> bool:
-        return self.active and self._fleet.unheard()
+        return self.active and self._fleet.unheard
 
     def vouched(self, machines: list[str]) -> None:
         if self.active:
--- a/spindleglade/settings/platform.py
+++ b/spindleglade/settings/platform.py
@@ -64,6 +64,11 @@
     value_kb: Positive
     txn_ops: Annotated[int, msgspec.Meta(ge=3)]
 
+    @property
+    def value_bytes(self) -> int:
+        """What may be put into a value: it stays well within what the service takes."""
+        return int(self.value_kb * 1024 * 0.9)
+
 
 class CloudLimits(msgspec.Struct, frozen=True):
     rps: Positive
--- a/spindleglade/submissions/api.py
+++ b/spindleglade/submissions/api.py
@@ -59,7 +59,7 @@
         self._shapes = shapes
         self._forward = forward
         self._utc = utc
-        self._chunk = chunk_size(client.limits.value_kb)
+        self._chunk = chunk_size(client.limits.value_bytes)
 
     async def handle(self, method: str, path: str, body: bytes, may_forward: bool = True) -> Answer:
         """`may_forward` is false for a request that came from a sibling: it is passed on only once."""
--- a/spindleglade/submissions/records.py
+++ b/spindleglade/submissions/records.py
@@ -61,10 +61,10 @@
     return job, int(chunk)
 
 
-def chunk_size(value_kb: float) -> int:
-    """Tasks per chunk such that the longest form, every task placed, stays well within one value."""
+def chunk_size(value_bytes: int) -> int:
+    """Tasks per chunk such that the longest form, every task placed, fits into one value."""
     longest = len('"99999":[4294967296,"n-0000000000000000",4294967296],') + 8
-    return max(1, min(256, int(value_kb * 1024 * 0.9) // longest))
+    return max(1, min(256, value_bytes // longest))
 
 
 def runs(numbers: list[int]) -> list[tuple[int, int]]:
--- a/spindleglade/submissions/test_submissions.py
+++ b/spindleglade/submissions/test_submissions.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from spindleglade.settings import Team
+from spindleglade.settings.platform import StateLimits
 from spindleglade.store.client import raw
 from spindleglade.submissions.messages import Impossible, MachineShape, check_possible, decode_submission
 from spindleglade.submissions.records import (
@@ -139,7 +140,7 @@
 
 @pytest.mark.parametrize("value_kb", [0.5, 4.0, 16.0, 64.0])
 def test_the_longest_chunk_fits_into_a_value(value_kb):
-    size = chunk_size(value_kb)
+    size = chunk_size(StateLimits(100.0, 40.0, value_kb, 12).value_bytes)
     longest = Placement(1 << 32, "n-0000000000000000", 1 << 32)
     chunk = Chunk(placed={99_999 - index: longest for index in range(size)})
     assert len(raw(chunk)) <= value_kb * 1024
--- a/spindleglade/web.py
+++ b/spindleglade/web.py
@@ -116,6 +116,14 @@
         ...
 
 
+class Keeper(Requester, Protocol):
+    """One that keeps its connections."""
+
+    def let_go(self) -> None:
+        """Closes the connections that are kept and not in use."""
+        ...
+
+
 class HttpClient:
     """Requests over kept connections, counted in `sockets`; every call ends within its timeout."""
 
@@ -164,7 +172,6 @@
             raise NoAnswer(f"{method} {path}: {type(error).__name__} {error}") from None
 
     def let_go(self) -> None:
-        """Closes the connections that are kept and not in use."""
         self._pool.closeCachedConnections()
 
     @staticmethod
@@ -180,11 +187,12 @@
     """Lets only so many requests be under way at a time, and keeps connections only while there are enough to
     spare. After all controllers have restarted, a leader has something to say to every machine at once."""
 
-    def __init__(self, http: Any, clock: Clock, sockets: Sockets) -> None:
+    def __init__(self, http: Keeper, clock: Clock, sockets: Sockets) -> None:
         self._http = http
         self._clock = clock
         self._sockets = sockets
-        self._turns = defer.DeferredSemaphore(sockets.orders_at_once)
+        self.at_once = sockets.orders_at_once
+        self._turns = defer.DeferredSemaphore(self.at_once)
 
     async def request(
         self,
--- a/spindleglade/workers/ledger.py
+++ b/spindleglade/workers/ledger.py
@@ -527,14 +527,16 @@
                 self._over(assignment, "its machine is gone")
             del self.machines[name]
 
-    def found(self, name: str, address: str, zone: str) -> None:
-        """Where the cloud says that a machine is which has not reported to this leader yet. It can be asked
-        then; those that died with the leader before used to be waited for until a whole lease was over."""
+    def found(self, listed: list[tuple[str, str, str]]) -> None:
+        """Names, addresses and zones: where the cloud says that machines are. Those that have not reported to
+        this leader yet can be asked then; those that died with the leader before used to be waited for until
+        a whole lease was over."""
         with self.lock:
-            machine = self.machines.get(name)
-            if machine is not None and not machine.address:
-                machine.address, machine.zone = address, zone
-                self.due[name] = None
+            for name, address, zone in listed:
+                machine = self.machines.get(name)
+                if machine is not None and not machine.address:
+                    machine.address, machine.zone = address, zone
+                    self.due[name] = None
 
     def vouch(self, names: list[str], now: timedelta) -> None:
         """A sibling renews these machines' leases: they live, though nothing is heard of them here."""
--- a/spindleglade/workers/test_ledger.py
+++ b/spindleglade/workers/test_ledger.py
@@ -290,11 +290,11 @@
 def test_a_machine_known_from_the_record_alone_gets_its_address_from_the_list():
     book = Book()
     book.ledger.load_chunk("job-1", 0, Chunk(placed={0: Placement(1, "n-1", 1)}), book.now)
-    book.ledger.found("n-1", "y:1", "z")
+    book.ledger.found([("n-1", "y:1", "z")])
     machine = book.ledger.machines["n-1"]
     assert machine.address == "y:1" and not book.ledger.usable(machine, book.now)
     book.report(("job-1/0", 1, "running"))
-    book.ledger.found("n-1", "y:1", "other")
+    book.ledger.found([("n-1", "y:1", "other")])
     assert machine.address == "x:1" and machine.zone == "z"
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -178,8 +178,14 @@
 
     @property
     def up(self) -> bool:
-        now = self._world.lives[self._own].now()
-        return self.linked and self.heard is not None and now - self.heard < seconds(2)
+        return self.linked and self._lately(self.heard)
+
+    @property
+    def shown_lately(self) -> bool:
+        return self._lately(self.shown)
+
+    def _lately(self, at: timedelta | None) -> bool:
+        return at is not None and self._world.lives[self._own].now() - at < seconds(2)
 
     async def ask(self, make: Any, timeout: timedelta) -> Any:
         if not self.up:
