Split the ledger and the planner by duty

The book's chapters are now files of their own: intake (what workers say), orders (what they are told), recording (what the store holds), placing (what planning sees and decides); the ledger binds them under its one lock. A round's columns and fits are in field, the head's reservation in reserving, stopping for others in preempting. Methods moved as they were; no test changed.

--- /dev/null
+++ b/spindleglade/backfill/field.py
@@ -0,0 +1,162 @@
+"""A planning round's state: the open machines as columns, what teams use, and what fits where."""
+
+import numpy as np
+from numpy.typing import NDArray
+
+from spindleglade.backfill.probability import Reservation
+from spindleglade.backfill.snapshot import JobView, MachineView, Plan, Running, Snapshot
+
+Array = NDArray[np.float64]
+Mask = NDArray[np.bool_]
+Counts = NDArray[np.int64]
+
+
+class Field:
+    """The open machines as columns."""
+
+    def __init__(self, machines: list[MachineView]) -> None:
+        self.views = machines
+        self.cpus = np.array([view.free_cpus for view in machines], float)
+        self.gpus = np.array([view.free_gpus for view in machines], float)
+        self.memory = np.array([view.free_memory for view in machines], float)
+        self.spot = np.array([view.spot for view in machines], bool)
+        self.pull = np.array([view.pull_gb_per_s for view in machines], float)
+        self.pulls = np.array([len(view.pulling) for view in machines], float)
+        self.index = {view.name: at for at, view in enumerate(machines)}
+        self.zones: dict[str, Mask] = {}
+        self.types: dict[str, Mask] = {}
+        # Where each image is, and where it is being fetched.
+        self.images: dict[str, list[int]] = {}
+        self.pulling: dict[str, set[int]] = {}
+        self.claimed: list[int] = []
+        for at, view in enumerate(machines):
+            if view.zone not in self.zones:
+                self.zones[view.zone] = np.zeros(len(machines), bool)
+            self.zones[view.zone][at] = True
+            if view.type not in self.types:
+                self.types[view.type] = np.zeros(len(machines), bool)
+            self.types[view.type][at] = True
+            for image in view.images:
+                self.images.setdefault(image, []).append(at)
+            for image in view.pulling:
+                self.pulling.setdefault(image, set()).add(at)
+            if view.claims:
+                self.claimed.append(at)
+
+    def fetch_s(self, image: str, gb: float) -> Array:
+        """How long the image takes to be on each machine; fetches under way share the rate."""
+        alone = gb / self.pull
+        sharing = self.pulls + 1
+        coming = self.pulling.get(image)
+        if coming:
+            sharing[list(coming)] -= 1
+        seconds = alone * sharing
+        there = self.images.get(image)
+        if there:
+            seconds[there] = 0.0
+        return seconds
+
+
+class Round:
+    def __init__(self, snapshot: Snapshot, tau: float, preempt: str) -> None:
+        self.plan = Plan()
+        self.jobs = snapshot.jobs
+        self.by_id = {job.id: job for job in snapshot.jobs}
+        self.machines = [machine for machine in snapshot.machines if machine.open]
+        self.teams = snapshot.teams
+        self.codes = {name: code for code, name in enumerate(snapshot.teams)}
+        self.predictor = snapshot.predictor
+        self.now = snapshot.now
+        self.ordinary_first = snapshot.ordinary_first
+        self.tau = tau
+        self.preempt = preempt
+        self.field = Field(self.machines)
+        # Tasks started in this round, by machine.
+        self.added: list[tuple[int, Running]] = []
+        # Every assignment not proven over counts, on closed machines too.
+        self.used_cpus: dict[str, float] = {}
+        self.used_gpus: dict[str, float] = {}
+        for machine in snapshot.machines:
+            for team, (cpus, gpus) in machine.used.items():
+                self._use(team, cpus, gpus)
+        # Of the teams' limits, what is kept for their overdue jobs: CPUs and GPUs.
+        self.kept: dict[str, tuple[float, float]] = {}
+        self.head: JobView | None = None
+        self.head_tasks = 1
+        # For each machine that is a unit for the head, the room a candidate may take without taking the unit.
+        self.spare: dict[int, tuple[float, float, float]] = {}
+        self.reservation: Reservation | None = None
+        # Units that tasks which passed the head have taken in this round.
+        self.taken = 0
+        # Tasks stopped in this round, whatever the views say.
+        self.stopped: set[tuple[str, int]] = set()
+        # What stopping could free on each machine, by the rank it would be for.
+        self.stoppable: dict[int, Array] = {}
+
+    def _use(self, team: str, cpus: float, gpus: float) -> None:
+        self.used_cpus[team] = self.used_cpus.get(team, 0.0) + cpus
+        self.used_gpus[team] = self.used_gpus.get(team, 0.0) + gpus
+
+    def _room(self, job: JobView, guarantee: bool) -> int:
+        """How many more tasks of the job keep its team within its limit, or within its guarantee."""
+        team = self.teams.get(job.team)
+        if team is None:
+            return 0
+        cpus, gpus = (team.cpus, team.gpus) if guarantee else (team.cpus_max, team.gpus_max)
+        if not guarantee and not job.overdue and job.team in self.kept:
+            cpus, gpus = cpus - self.kept[job.team][0], gpus - self.kept[job.team][1]
+        return job.fitting(cpus - self.used_cpus.get(job.team, 0.0), gpus - self.used_gpus.get(job.team, 0.0))
+
+    def _within(self, job: JobView, guarantee: bool) -> bool:
+        return self._room(job, guarantee) > 0
+
+    def _allowed(self, job: JobView) -> Mask:
+        columns = self.field
+        mask = np.ones(len(self.machines), bool)
+        if job.types is not None:
+            mask[:] = False
+            for name in job.types:
+                if name in columns.types:
+                    mask |= columns.types[name]
+        if job.zone is not None:
+            mask &= columns.zones.get(job.zone, False)
+        if not job.spot:
+            mask &= ~columns.spot
+        if job.one_zone or job.spread:
+            for zone, here in columns.zones.items():
+                elsewhere = any(count and other != zone for other, count in job.zones.items())
+                crowded = job.zones.get(zone, 0) + 1 > (job.tasks + 1) // 2
+                if (job.one_zone and elsewhere) or (job.spread and crowded):
+                    mask &= ~here
+        for name in job.avoid:
+            if name in columns.index:
+                mask[columns.index[name]] = False
+        return mask
+
+    def _unclaimed(self, job: JobView | None) -> tuple[Array, Array, Array]:
+        """What is free on each machine, less the room held there for jobs other than this one."""
+        columns = self.field
+        if not columns.claimed:
+            return columns.cpus, columns.gpus, columns.memory
+        cpus, gpus, memory = columns.cpus.copy(), columns.gpus.copy(), columns.memory.copy()
+        for at in columns.claimed:
+            for claimant, count in self.machines[at].claims.items():
+                other = self.by_id.get(claimant) if job is None or claimant != job.id else None
+                if other is not None and count > 0:
+                    cpus[at] -= other.cpus * count
+                    gpus[at] -= other.gpus * count
+                    memory[at] -= other.memory * count
+        return cpus, gpus, memory
+
+    def _fits(self, job: JobView) -> Counts:
+        """How many tasks of the job each machine has room for."""
+        fits = job.fitting_each(np.column_stack(self._unclaimed(job)))
+        return np.where(self._allowed(job), fits, 0.0).astype(np.int64)
+
+    def _order(self, job: JobView, fits: Counts) -> Counts:
+        """Where a task runs soonest; among those, the kind of machine preferred here, and the fullest first,
+        so that others stay whole or idle."""
+        able = np.nonzero(fits)[0]
+        fetch = self.field.fetch_s(job.image, job.image_gb)
+        dear = self.field.spot == self.ordinary_first
+        return able[np.lexsort((self.field.cpus[able], dear[able], fetch[able]))]
--- /dev/null
+++ b/spindleglade/backfill/reserving.py
@@ -0,0 +1,129 @@
+"""The head's reservation: when it is expected to start, and what may go before it."""
+
+from datetime import timedelta
+
+import numpy as np
+
+from spindleglade.backfill.field import Array, Counts, Mask, Round
+from spindleglade.backfill.probability import Reservation
+from spindleglade.backfill.snapshot import EPS, JobView, task_rows
+
+
+class Reserving(Round):
+    def _outlook(self) -> tuple[Counts, Array, Array, Array, Array]:
+        """All tasks on open machines, those started in this round too: where they are, their rows, when they
+        are expected to end, and the possible ends with their weights."""
+        parts = [view.rows(self.codes) for view in self.machines]
+        where = np.repeat(np.arange(len(parts)), [len(part) for part in parts])
+        if self.added:
+            parts.append(task_rows([task for _, task in self.added], self.codes))
+            where = np.concatenate((where, [at for at, _ in self.added]))
+        rows = np.concatenate(parts) if parts else np.zeros((0, 6))
+        elapsed = np.nan_to_num(self.now.total_seconds() - rows[:, 2], nan=0.0)
+        ends, weights = self.predictor.outlook(
+            list(self.codes), np.column_stack((rows[:, 0], rows[:, 1], elapsed))
+        )
+        return where, rows, (ends * weights).sum(axis=1), ends, weights
+
+    def _units(self, job: JobView) -> tuple[Mask, Array, Array, Counts, Counts, Array, Array]:
+        """Each machine as a unit for the job: which of its tasks must end for one task of the job to fit,
+        soonest first. Returns whether it is a unit at all, after how many seconds it is expected to be one,
+        what would then be left over, for the tasks that must end their places and machines, and all ends and
+        weights."""
+        where, rows, expected, ends, weights = self._outlook()
+        need = np.array([job.cpus, job.gpus, job.memory]) - EPS
+        free = np.column_stack(self._unclaimed(job))
+        order = np.lexsort((expected, where))
+        at = where[order]
+        freed = np.cumsum(rows[order, 3:], axis=0)
+        firsts = np.searchsorted(at, np.arange(len(self.machines) + 1))
+        before = np.vstack((np.zeros(3), freed))[firsts[:-1]]
+        have = free[at] + freed - before[at]
+        enough = np.nonzero((have >= need).all(axis=1))[0]
+        ready = np.full(len(self.machines), np.inf)
+        left = np.zeros((len(self.machines), 3))
+        last = np.full(len(self.machines), -1)
+        # The first place on each machine at which enough is free: it is written after the later ones.
+        last[at[enough[::-1]]] = enough[::-1]
+        some = last >= 0
+        ready[some] = expected[order][last[some]]
+        left[some] = have[last[some]]
+        now = (free >= need).all(axis=1)
+        ready[now], left[now], last[now] = 0.0, free[now], -1
+        allowed = self._allowed(job)
+        unit = allowed & np.isfinite(ready)
+        ending = np.arange(len(order)) <= last[at]
+        ending &= unit[at]
+        return unit, ready, left - need - EPS, order[ending], at[ending], ends, weights
+
+    def _reserve(self) -> Reservation:
+        """The head's reservation; made only once something asks to go before it."""
+        if self.reservation is None:
+            assert self.head is not None
+            unit, ready, left, ending, at, ends, weights = self._units(self.head)
+            self.spare = {int(machine): tuple(left[machine]) for machine in np.nonzero(unit)[0]}
+            free = int((unit & (ready == 0.0)).sum())
+            lacks = max(1, min(self.head_tasks, len(self.spare)) - free)
+            self.reservation = Reservation(ends[ending], weights[ending], at, lacks)
+        return self.reservation
+
+    def _passing(self, job: JobView, at: int, wanted: int, refused: set[tuple]) -> int:
+        """How many of the tasks that fit the machine may go before the head. Those that leave it room for the
+        head's task take no unit and delay nothing; the first that does not is asked for by Algorithm 2, for
+        all alike."""
+        reservation = self._reserve()
+        spare = self.spare.get(at)
+        if spare is None:
+            return wanted
+        count = min(wanted, job.fitting(*spare))
+        if count < wanted and job.like() not in refused:
+            self.plan.checks += 1
+            ends, weights = self.predictor.remaining(job.team, job.estimate, timedelta(0))
+            if reservation.delay(ends, weights, self.taken + 1) < self.tau:
+                self.taken += 1
+                del self.spare[at]
+                return wanted
+            refused.add(job.like())
+        if count:
+            self.spare[at] = (
+                spare[0] - job.cpus * count,
+                spare[1] - job.gpus * count,
+                spare[2] - job.memory * count,
+            )
+        return count
+
+    def _hold(self, job: JobView, rest: int) -> None:
+        """Holds room that frees for an overdue job, so that nothing small slips in before enough is free in
+        one place: what it has already, and more on the machines that will have room soonest. On a sixteenth
+        of the machines at most: they stand half empty meanwhile, and the others must get on as well."""
+        held = 0
+        for at in self.field.claimed:
+            count = self.machines[at].claims.get(job.id, 0)
+            if count > 0:
+                self.plan.claims.append((self.machines[at].name, job.id, count))
+                held += count
+        more = min(rest - held, max(1, len(self.machines) // 16) - len(self.field.claimed))
+        if more <= 0:
+            return
+        unit, ready, *_ = self._units(job)
+        ready = np.where(unit, ready, np.inf)
+        for at in np.argsort(ready, kind="stable")[:more]:
+            if not np.isfinite(ready[at]):
+                break
+            if self.machines[at].claims:
+                continue
+            self.machines[at].claims[job.id] = 1
+            self.field.claimed.append(int(at))
+            self.plan.claims.append((self.machines[at].name, job.id, 1))
+
+    def _outranks(self, job: JobView) -> bool:
+        """Whether the job might stop a task of the head by the protocol's rules; then holding it back behind
+        the head would only make it do so later, at the price of the work lost."""
+        assert self.head is not None
+        if job.rank > self.head.rank:
+            return True
+        return (
+            job.team != self.head.team
+            and self._within(job, guarantee=True)
+            and not self._within(self.head, guarantee=True)
+        )
--- /dev/null
+++ b/spindleglade/workers/book.py
@@ -0,0 +1,129 @@
+"""The leader's book: jobs, tasks and machines, what is on which, and the changes that every chapter makes.
+
+Its chapters are `intake` (what workers say), `orders` (what they are told), `recording` (what the store
+holds) and `placing` (what planning sees and decides); `ledger` binds them. All are under one lock. The
+methods here are called with it held.
+"""
+
+import logging
+import threading
+from datetime import timedelta
+
+from spindleglade.backfill.distributions import Predictor
+from spindleglade.settings.platform import Team
+from spindleglade.workers.attempts import (
+    FOREVER,
+    PLACED,
+    WAITING,
+    Assignment,
+    Job,
+    Machine,
+    MachineKind,
+    Rules,
+)
+
+log = logging.getLogger("spindleglade.workers")
+
+
+class Book:
+    def __init__(
+        self,
+        token: int,
+        rules: Rules,
+        teams: dict[str, Team],
+        kinds: dict[str, MachineKind],
+        predictor: Predictor,
+        now: timedelta,
+    ) -> None:
+        self.lock = threading.Lock()
+        self.token = token
+        self.rules = rules
+        self.teams = teams
+        self.kinds = kinds
+        self.predictor = predictor
+        self.began = now
+        # When a report last came that was not a late copy, by whichever way.
+        self.heard = now
+        self.jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        # Machines proven gone; late reports of theirs must not bring them back.
+        self.gone: set[str] = set()
+        # Chunks that differ from what is recorded, the longest first.
+        self.dirty: dict[tuple[str, int], None] = {}
+        # Those of them with a start that waits for its record.
+        self.starting: dict[tuple[str, int], None] = {}
+        # Machines that may have something to be sent straight, the longest first. One that has not leaves,
+        # and is put in again by whatever may change that: its report, a record, an order answered, a stop.
+        # Looking at all that wait for their records, each time, took a third of the leader's time after a
+        # restart. While it was a set, chance chose which came first, and no test ran the same way twice.
+        self.due: dict[str, None] = {}
+        self.learned: set[str] = set()
+        # Whether work goes to ordinary machines before spot ones, or the other way round.
+        self.ordinary_first = False
+        # Counts what planning or recording could want to know.
+        self.changes = 0
+
+    def _touch(self, machine: Machine) -> None:
+        """Something on the machine has changed."""
+        machine.view = machine.steady = None
+        self.changes += 1
+
+    def _stop(self, assignment: Assignment, reason: str, slack: float) -> None:
+        assignment.stop, assignment.slack = reason, slack
+        machine = self.machines.get(assignment.machine)
+        if machine is not None:
+            self._touch(machine)
+            self.due[machine.name] = None
+
+    def _over(self, assignment: Assignment, reason: str | None) -> None:
+        """The attempt is proven off its machine (or was never sent there)."""
+        if assignment.over:
+            return
+        assignment.over = True
+        job = assignment.job
+        job.placed.pop(assignment.index, None)
+        machine = self.machines.get(assignment.machine)
+        if machine is not None:
+            machine.placed.pop((job.id, assignment.index), None)
+            self._touch(machine)
+        if job.state[assignment.index] == PLACED:
+            job.state[assignment.index] = WAITING
+        if reason is not None:
+            log.info(
+                "over task=%s try=%d machine=%s reason=%s",
+                assignment.task,
+                assignment.attempt,
+                assignment.machine,
+                reason,
+            )
+        self._changed(job, assignment.index)
+
+    def _changed(self, job: Job, index: int) -> None:
+        number = index // job.chunk
+        job.versions[number] = job.versions.get(number, 0) + 1
+        self.dirty[(job.id, number)] = None
+        self.changes += 1
+
+    def _retire(self, job: Job) -> None:
+        """A job that is over and nowhere any more: its chunks are to be removed."""
+        if not job.open and not job.placed:
+            self.dirty[(job.id, 0)] = None
+
+    def _finish(self, job: Job) -> None:
+        job.finished = True
+        self._all_recorded(job)
+        self.dirty[(job.id, 0)] = None
+        log.info("done job=%s", job.id)
+
+    @staticmethod
+    def _all_recorded(job: Job) -> None:
+        for number in range((len(job.state) - 1) // job.chunk + 1):
+            job.committed_versions[number] = FOREVER
+
+    def _deaf(self, machine: Machine, now: timedelta, reason: str) -> None:
+        """Hearing a machine is not being heard by it. Nothing more is placed there until something shows that
+        messages arrive; its tasks are moved on proof only, as ever."""
+        if machine.deaf is None:
+            log.info("machine does not hear machine=%s reason=%s", machine.name, reason)
+            machine.deaf = now
+            self.changes += 1
--- /dev/null
+++ b/spindleglade/workers/placing.py
@@ -0,0 +1,116 @@
+"""What planning sees of the book, and the taking over of its plans."""
+
+import logging
+from datetime import timedelta
+
+from spindleglade.backfill.snapshot import Plan, Snapshot
+from spindleglade.workers.attempts import PLACED, WAITING, Assignment, Machine, slack
+from spindleglade.workers.book import Book
+from spindleglade.workers.messages import split_task
+from spindleglade.workers.views import NO_KIND, job_view, machine_view
+
+log = logging.getLogger("spindleglade.workers")
+
+
+class Placing(Book):
+    def usable(self, machine: Machine, now: timedelta) -> bool:
+        return (
+            machine.proven
+            and machine.leaves is None
+            and machine.deaf is None
+            and not machine.condemned
+            and not machine.releasing
+            and machine.type in self.kinds
+            and machine.heard is not None
+            and now - machine.heard < self.rules.report * 2 + timedelta(seconds=1)
+            and now >= machine.full_until
+        )
+
+    def snapshot(self, now: timedelta) -> Snapshot:
+        with self.lock:
+            machines = []
+            barred: dict[str, dict[int, set[str]]] = {}
+            for machine in self.machines.values():
+                if machine.view is None:
+                    kind = self.kinds.get(machine.type, NO_KIND)
+                    machine.view = machine_view(machine, kind)
+                view = machine.view
+                view.open = self.usable(machine, now)
+                view.claims = {
+                    job: count for job, (count, until) in machine.claims.items() if until > now and count > 0
+                }
+                machines.append(view)
+                if machine.lying or machine.unsure:
+                    self._bar(machine, barred)
+            room = max((kind.cpus for kind in self.kinds.values()), default=0.0)
+            jobs = []
+            for job in sorted(self.jobs.values(), key=lambda job: job.order):
+                if not job.open or job.not_before > now or job.done + len(job.placed) >= len(job.state):
+                    continue
+                if job.spec.kind == "group" and job.placed:
+                    continue
+                overdue = now - job.hungry >= self.rules.patience
+                jobs.append(job_view(job, self.machines, room * 64, overdue, barred.get(job.id, {})))
+            return Snapshot(jobs, machines, self.teams, self.predictor.copy(), now, self.ordinary_first)
+
+    def _bar(self, machine: Machine, barred: dict[str, dict[int, set[str]]]) -> None:
+        """Tasks that wait again, and may not come back here while an older attempt lies here uncleared."""
+        for task, _ in [*machine.lying, *machine.unsure]:
+            job_id, index = split_task(task)
+            job = self.jobs.get(job_id)
+            if job is not None and 0 <= index < len(job.state) and job.state[index] == WAITING:
+                barred.setdefault(job_id, {}).setdefault(index, set()).add(machine.name)
+
+    def apply(self, plan: Plan, now: timedelta) -> int:
+        """Takes over a plan as far as it still holds; the starts wait for their record."""
+        placed = 0
+        with self.lock:
+            for start in plan.starts:
+                job, machine = self.jobs.get(start.job), self.machines.get(start.machine)
+                if (
+                    job is None
+                    or machine is None
+                    or not job.open
+                    or job.state[start.index] != WAITING
+                    or not self.usable(machine, now)
+                ):
+                    continue
+                attempt = job.attempts.get(start.index, 0) + 1
+                job.attempts[start.index] = attempt
+                job.hungry = now
+                self._changed(job, start.index)
+                self.starting[(job.id, start.index // job.chunk)] = None
+                self.due[machine.name] = None
+                assignment = Assignment(
+                    job,
+                    start.index,
+                    attempt,
+                    machine.name,
+                    machine.session,
+                    job.versions[start.index // job.chunk],
+                    now,
+                )
+                job.state[start.index] = PLACED
+                job.placed[start.index] = assignment
+                machine.placed[(job.id, start.index)] = assignment
+                machine.view = machine.steady = None
+                machine.idle_since = None
+                claim = machine.claims.get(job.id)
+                if claim is not None:
+                    machine.claims[job.id] = (claim[0] - 1, claim[1])
+                placed += 1
+            for stop in plan.stops:
+                machine = self.machines.get(stop.machine)
+                if machine is None:
+                    continue
+                stopping = machine.placed.get((stop.job, stop.index))
+                if stopping is not None and stopping.stop is None:
+                    self._stop(stopping, f"room for {stop.claimant}", slack(stopping.job.spec))
+                    log.info(
+                        "stopping task=%s machine=%s reason=%s", stopping.task, machine.name, stopping.stop
+                    )
+            for name, claimant, count in plan.claims:
+                machine = self.machines.get(name)
+                if machine is not None:
+                    machine.claims[claimant] = (count, now + self.rules.lease)
+        return placed
--- /dev/null
+++ b/spindleglade/workers/recording.py
@@ -0,0 +1,186 @@
+"""What the store holds of the book: reading it, and what of it is to be written next."""
+
+import logging
+from datetime import timedelta
+
+from spindleglade.submissions.records import TASKS, Chunk, JobRecord, chunk_key
+from spindleglade.workers.attempts import DONE, PLACED, ZERO, Assignment, Batch, Job, Machine
+from spindleglade.workers.book import Book
+
+log = logging.getLogger("spindleglade.workers")
+
+
+class Recording(Book):
+    def take_job(self, record: JobRecord, mark: int, now: timedelta = ZERO, age: timedelta = ZERO) -> None:
+        """A job record, from the first reading or from a later change; `age` is the time since the job was
+        accepted."""
+        with self.lock:
+            job = self.jobs.get(record.spec.id)
+            if job is None:
+                if record.stage != "done":
+                    job = self.jobs[record.spec.id] = Job(record, mark)
+                    job.hungry = now - age
+                    self.changes += 1
+                return
+            if mark <= job.mark:
+                return
+            job.mark = mark
+            self.changes += 1
+            if record.stage == "done" and not job.finished:
+                # Our own write, seen by watch before its answer came.
+                self._finish(job)
+            elif record.stage == "aborted" and not job.aborted:
+                job.aborted = True
+                # A copy: what was never started is over at once and leaves the dictionary.
+                for assignment in list(job.placed.values()):
+                    self._stop(assignment, "aborted", 0.0)
+                    if not assignment.seen and not assignment.recorded:
+                        # Its start was never sent, and now never will be.
+                        self._over(assignment, "aborted before its start")
+                self._retire(job)
+
+    def load_chunk(self, job_id: str, number: int, chunk: Chunk, now: timedelta) -> None:
+        """A chunk as a former leader left it; only for the first reading."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is None:
+                # The job is done; what is left of its chunks is to be removed.
+                self.dirty[(job_id, number)] = None
+                return
+            for first, last in chunk.done:
+                for index in range(first, min(last + 1, len(job.state))):
+                    job.state[index] = DONE
+                    job.done += 1
+            if chunk.done or chunk.placed:
+                # When its latest start was is not on record.
+                job.hungry = now
+            job.attempts.update(chunk.tried)
+            for index, placement in chunk.placed.items():
+                assignment = Assignment(
+                    job,
+                    index,
+                    placement.attempt,
+                    placement.machine,
+                    placement.session,
+                    0,
+                    now,
+                    stop="aborted" if job.aborted else None,
+                    loaded=True,
+                )
+                job.attempts[index] = placement.attempt
+                job.state[index] = PLACED
+                job.placed[index] = assignment
+                machine = self.machines.get(placement.machine)
+                if machine is None:
+                    # Not heard of yet. It counts as heard now, so that it gets a full lease to report.
+                    machine = Machine(placement.machine, "", "", "", True, heard=now)
+                    self.machines[placement.machine] = machine
+                machine.placed[(job_id, index)] = assignment
+                self._touch(machine)
+
+    def loaded(self) -> None:
+        with self.lock:
+            for job in list(self.jobs.values()):
+                if job.complete and job.open:
+                    self.dirty[(job.id, 0)] = None
+                self._retire(job)
+
+    def committed(self, job_id: str, number: int, version: int) -> None:
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is None:
+                return
+            job.committed_versions[number] = max(job.committed_versions.get(number, 0), version)
+            for index, assignment in job.placed.items():
+                if index // job.chunk == number and not assignment.seen:
+                    self.due[assignment.machine] = None
+
+    def finished(self, job_id: str, mark: int) -> None:
+        """The record says that the job is done."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is not None and not job.finished:
+                job.mark = max(job.mark, mark)
+                self._finish(job)
+
+    def forget(self, job_id: str) -> None:
+        """All of a finished job's chunks are removed."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is not None and not job.open and not job.placed:
+                self._all_recorded(job)
+                del self.jobs[job_id]
+
+    def collect(self, most: int, stored: dict[str, int], spare: int | None = None) -> "Batch":
+        """Takes out of the dirty chunks what one transaction can hold: first those with starts that wait for
+        their record, then jobs that are done, of which users wait to hear, then the rest, which nobody waits
+        for: at most `spare` of it. `stored` has the marks of the chunks that the store holds."""
+        with self.lock:
+            batch = Batch()
+            rest: list[tuple[str, int]] = []
+            for at in list(self.starting):
+                if batch.size >= most:
+                    break
+                self._collect(batch, at, most, stored)
+            if batch.size < most:
+                for at in list(self.dirty):
+                    job = self.jobs.get(at[0])
+                    if job is not None and job.open and job.complete:
+                        if batch.size < most:
+                            self._collect(batch, at, most, stored)
+                    else:
+                        rest.append(at)
+                room = most if spare is None else min(most, batch.size + spare)
+                for at in rest:
+                    if batch.size >= room:
+                        break
+                    self._collect(batch, at, room, stored)
+            # Jobs with chunks left over are not forgotten yet.
+            for job_id, _ in self.dirty:
+                batch.over.pop(job_id, None)
+            return batch
+
+    def _collect(self, batch: Batch, at: tuple[str, int], most: int, stored: dict[str, int]) -> None:
+        job_id, number = at
+        self.dirty.pop(at, None)
+        self.starting.pop(at, None)
+        job = self.jobs.get(job_id)
+        if job is not None and job.open and job.complete:
+            if all(done != job_id for done, _, _ in batch.done):
+                record = JobRecord("done", job.spec, job.chunk, job.accepted)
+                batch.done.append((job_id, job.mark, record))
+        elif job is None or (not job.open and not job.placed):
+            for key in self._stored_chunks(job_id, stored):
+                if batch.size < most:
+                    batch.removed.append((job_id, key))
+                else:
+                    self.dirty[at] = None
+            batch.over[job_id] = None
+        else:
+            version = job.versions.get(number, 0)
+            batch.chunks.append((job_id, job.mark if job.open else None, number, version, job.encode(number)))
+
+    def _stored_chunks(self, job_id: str, stored: dict[str, int]) -> list[str]:
+        job = self.jobs.get(job_id)
+        if job is None:
+            return [key for key in stored if key.startswith(f"{TASKS}{job_id}/")]
+        numbers = range((len(job.state) - 1) // job.chunk + 1)
+        return [key for key in (chunk_key(job_id, number) for number in numbers) if key in stored]
+
+    def put_back(self, batch: "Batch") -> None:
+        with self.lock:
+            for job_id, _, number, _, _ in batch.chunks:
+                self.dirty[(job_id, number)] = None
+                job = self.jobs.get(job_id)
+                if job is not None and any(
+                    not assignment.recorded
+                    for index, assignment in job.placed.items()
+                    if index // job.chunk == number
+                ):
+                    self.starting[(job_id, number)] = None
+            for job_id in [
+                *(job_id for job_id, _, _ in batch.done),
+                *batch.over,
+                *(job_id for job_id, _ in batch.removed),
+            ]:
+                self.dirty[(job_id, 0)] = None
