--- a/spindleglade/submissions/api.py
+++ b/spindleglade/submissions/api.py
@@ -23,7 +23,7 @@
     check_possible,
     decode_submission,
 )
-from spindleglade.submissions.records import JobRecord, JobViews, chunk_size, job_key
+from spindleglade.submissions.records import JobRecord, JobView, JobViews, chunk_size, job_key
 from spindleglade.web import BODY_LIMIT, Answer, encode_json
 
 log = logging.getLogger("spindleglade.submissions")
@@ -126,14 +126,19 @@
         # The store holds the job, so a 404 here would be a replica not yet there.
         return LATER
 
-    async def _state(self, job: str) -> Answer:
+    async def _current(self, job: str) -> JobView | None:
+        """What is known of the job, confirmed now unless it is final. Raises Unconfirmed."""
         view = self._views.jobs.get(job)
         if view is None or view.record.stage == "open":
-            try:
-                await self._replica.confirm()
-            except Unconfirmed:
-                return LATER
+            await self._replica.confirm()
             view = self._views.jobs.get(job)
+        return view
+
+    async def _state(self, job: str) -> Answer:
+        try:
+            view = await self._current(job)
+        except Unconfirmed:
+            return LATER
         if view is None:
             return _error(404, "no such job")
         running = sum(view.running.values())
@@ -141,13 +146,10 @@
 
     async def _abort(self, job: str) -> Answer:
         for _ in range(4):
-            view = self._views.jobs.get(job)
-            if view is None or view.record.stage == "open":
-                try:
-                    await self._replica.confirm()
-                except Unconfirmed:
-                    return LATER
-                view = self._views.jobs.get(job)
+            try:
+                view = await self._current(job)
+            except Unconfirmed:
+                return LATER
             if view is None:
                 return _error(404, "no such job")
             record = view.record
