Rent last in a zone that is cut off

Now a zone most of which fell silent counts as cut off until a machine there is heard, and its offers come last. They are still taken where nothing else is to be had: a short cut is over before a machine is up. Tests: the order of offers, and from when to when a zone counts as cut off; both fail without it.

--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -30,6 +30,8 @@
     spot: bool
     # Machines already in its zone, booting ones too.
     there: int = 0
+    # Nothing is heard from its zone.
+    cut: bool = False
 
     @property
     def kind(self) -> Kind:
@@ -159,8 +161,10 @@
 ) -> Offer | None:
     """The least price for each CPU the job's tasks can use; among equals the smaller machine, which stands
     idle less, then the zone with the fewest machines: a zone that is cut off then takes no more than its
-    share of the fleet with it. `steady`: machines that are not taken back come first whatever they
-    cost. With `overdue`, work that may use spot machines gets ordinary ones only if its job is in it."""
+    share of the fleet with it. One that is cut off comes last: it has the fewest machines just when all of
+    them have been given up, and a new one there can no more report than they could. `steady`: machines that
+    are not taken back come first whatever they cost. With `overdue`, work that may use spot machines gets
+    ordinary ones only if its job is in it."""
     best, best_score = None, None
     for offer in offers:
         fits = job.fitting(offer.type.cpus, offer.type.gpus, offer.type.memory_gb)
@@ -172,7 +176,7 @@
         filled = min(1.0, fits * job.cpus / offer.type.cpus)
         price = offer.price / (offer.type.cpus * (filled + 1) / 2)
         there = offer.there + wanted.get(offer.kind, 0)
-        score = (steady and offer.spot, price, offer.type.cpus, there)
+        score = (offer.cut, steady and offer.spot, price, offer.type.cpus, there)
         if best_score is None or score < best_score:
             best, best_score = offer, score
     return best
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -80,6 +80,8 @@
         # Requests under way: what they may bring counts as booting until they are answered.
         self._asking: dict[str, tuple[Rent, MachineType]] = {}
         self._releasing: set[str] = set()
+        # Zones from which nothing is heard.
+        self._cut: set[str] = set()
         self._probing: set[str] = set()
         self._to_probe: dict[str, Machine] = {}
         self._probes = probes
@@ -209,7 +211,7 @@
         for machine_type in self._types():
             for zone in machine_type.zones or self._zones:
                 for spot in (True, False):
-                    offer = Offer(machine_type, zone, spot, there.get(zone, 0))
+                    offer = Offer(machine_type, zone, spot, there.get(zone, 0), zone in self._cut)
                     if self._refusals.open(offer.kind, now):
                         offers.append(offer)
         return offers
@@ -275,7 +277,9 @@
         offers = [offer for offer in self._offers(now) if offer.type.cpus > 0]
         if missing <= 0 or not offers:
             return []
-        offer = min(offers, key=lambda offer: (offer.spot, offer.price / offer.type.cpus, offer.there))
+        offer = min(
+            offers, key=lambda offer: (offer.cut, offer.spot, offer.price / offer.type.cpus, offer.there)
+        )
         return [(offer, min(MOST_RENTED, math.ceil(missing / offer.type.cpus)))]
 
     def _overdue(self, now: timedelta) -> frozenset[str] | None:
@@ -333,7 +337,7 @@
         )
         dear = seconds(self._settings.idle_ordinary_s)
         with self._ledger.lock:
-            cut = self._cut_zones(now)
+            self._watch_zones(now)
             for machine in self._ledger.machines.values():
                 if machine.name in self._releasing:
                     continue
@@ -342,7 +346,7 @@
                     reason = "silent"
                 elif (
                     machine.mute is not None
-                    and machine.zone not in cut
+                    and machine.zone not in self._cut
                     and self._ledger.silent(machine, now, self._early)
                 ):
                     reason = "silent and does not answer"
@@ -378,13 +382,18 @@
         if names:
             self._release(names)
 
-    def _cut_zones(self, now: timedelta) -> set[str]:
-        """Zones most of which fell silent together: that is a cut, not machines that died one by one. Their
-        workers need some seconds to find a node that they reach, and it some more to vouch for them."""
+    def _watch_zones(self, now: timedelta) -> None:
+        """Where most of a zone fell silent together, that is a cut, not machines that died one by one. Their
+        workers need some seconds to find a node that they reach, and it some more to vouch for them. It lasts
+        until one there is heard: that all have been given up by then says nothing of the zone."""
         seen: dict[str, list[bool]] = {}
         for machine in self._ledger.machines.values():
             seen.setdefault(machine.zone, []).append(self._ledger.silent(machine, now, self._patience))
-        return {zone for zone, silent in seen.items() if sum(silent) >= max(3, len(silent) / 2)}
+        for zone, silent in seen.items():
+            if sum(silent) >= max(3, len(silent) / 2):
+                self._cut.add(zone)
+            elif not all(silent):
+                self._cut.discard(zone)
 
     def _release(self, names: dict[str, str]) -> None:
         self._releasing.update(names)
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -157,6 +157,33 @@
         return [Listed("n-2", "x:2", "s", "a", True, "failed", 9.0)]
 
 
+def test_a_zone_that_is_cut_off_comes_last():
+    """Its machines were all given up, so it had the fewest, and 70 of 100 were rented behind the cut."""
+    offers = [Offer(SMALL, "a", True, 0, cut=True), Offer(SMALL, "b", True, 9)]
+    unmet = [Unmet(job("job-1", 4.0), 2, False)]
+    (offer, count), *others = rentals(unmet, Rooms(), offers, TEAMS, {}, 50)
+    assert (offer.zone, count, others) == ("b", 1, [])
+    assert rent(unmet, offers=offers[:1]) == [("s", True, 1)]
+
+
+def test_a_zone_is_cut_off_from_when_most_of_it_falls_silent_until_one_there_is_heard():
+    fleet = manager(None)
+    machines = fleet._ledger.machines
+
+    def watch(at, **heard):
+        machines.clear()
+        for name, when in heard.items():
+            machines[name] = Machine(name, "x:1", "s", "a", True, heard=seconds(when))
+        fleet._watch_zones(seconds(at))
+        return fleet._cut
+
+    assert watch(60, n1=60, n2=60, n3=59, n4=20) == set()
+    assert watch(70, n1=60, n2=60, n3=60, n4=70) == {"a"}
+    assert watch(80) == {"a"}
+    assert watch(90, n5=60) == {"a"}
+    assert watch(100, n6=99) == set()
+
+
 def manager(soonest, proven=True, cloud=None, clock=None):
     """A fleet manager that is asked only for its judgement."""
     types = [MachineType("s", 8.0, 32.0, 1.0, 0.3, 20.0, 50.0, 0.25, 0.0, ["a"])]
