Use machines that report before their type is known

There the leader had taken over before the cloud had told the machine types. The picture of a machine of unknown type, without any room, was kept, and a machine that reports nothing new is not looked at again. Now what is learned of the types drops the pictures made before. The test fails without that.

--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -225,7 +225,7 @@
             await sleep(self._clock, seconds(1))
             if not self.active:
                 return
-            self.ledger.kinds = self._types.kinds()
+            self.ledger.learn_kinds(self._types.kinds())
             self.ledger.ordinary_first = self._fleet.ready
             self._changed()
             if self._clock.now() - at >= timedelta(seconds=10):
--- a/spindleglade/workers/placing.py
+++ b/spindleglade/workers/placing.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from spindleglade.backfill.snapshot import Plan, Snapshot
-from spindleglade.workers.attempts import PLACED, WAITING, Assignment, Machine, slack
+from spindleglade.workers.attempts import PLACED, WAITING, Assignment, Machine, MachineKind, slack
 from spindleglade.workers.book import Book
 from spindleglade.workers.messages import split_task
 from spindleglade.workers.views import NO_KIND, job_view, machine_view
@@ -13,6 +13,18 @@
 
 
 class Placing(Book):
+    def learn_kinds(self, kinds: dict[str, MachineKind]) -> None:
+        """What the cloud says of the machine types. A machine that reported before they were known was kept
+        as one without any room: it changed in nothing, so it was never looked at again. Where a leader came
+        half a second before the types, all machines that were there stood idle."""
+        with self.lock:
+            if kinds == self.kinds:
+                return
+            self.kinds = kinds
+            self.changes += 1
+            for machine in self.machines.values():
+                machine.view = None
+
     def usable(self, machine: Machine, now: timedelta) -> bool:
         return (
             machine.proven
--- a/spindleglade/workers/test_ledger.py
+++ b/spindleglade/workers/test_ledger.py
@@ -107,6 +107,18 @@
         return self
 
 
+def test_a_machine_that_reports_before_its_type_is_known_is_used_once_it_is():
+    book = Book()
+    kinds, book.ledger.kinds = book.ledger.kinds, {}
+    book.report()
+    (view,) = book.ledger.snapshot(book.now).machines
+    assert not view.open and view.cpus == 0
+    book.report()
+    book.ledger.learn_kinds(kinds)
+    (view,) = book.ledger.snapshot(book.now).machines
+    assert view.open and view.free_cpus == 8.0
+
+
 def test_a_start_waits_for_its_record():
     book = Book()
     book.report()
