--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -68,7 +68,7 @@
     elif kind == "cut_leader_siblings":
         world.cut(name, world.node_names, hold, span)
     elif kind == "cut_leader_all":
-        world.cut(name, [*machines, *world.node_names, "state", "cloud", "user"], hold, span)
+        world.cut_off(name, hold, span)
     elif kind == "cut_machine" and machines:
         world.cut(machines[pick % len(machines)], world.node_names, hold, span)
     elif kind == "machine_dies" and machines:
--- a/tests/world.py
+++ b/tests/world.py
@@ -334,8 +334,7 @@
         name = self.node_names[index]
         if name in self.nodes:
             self.lives[name].frozen = self.clock.now() + length
-            machines = [worker.machine.address for worker in self.workers.values()]
-            self.cut(name, [*machines, *self.node_names, "state", "cloud", "user"], True, length)
+            self.cut_off(name, True, length)
 
     def leader(self) -> int | None:
         return next(
@@ -354,6 +353,11 @@
             self.cuts.setdefault(pair, [] if hold else None)
         self.clock.later(length, self._heal, pairs)
 
+    def cut_off(self, name: str, hold: bool, length: timedelta) -> None:
+        """Cuts a node from all there is."""
+        machines = [worker.machine.address for worker in self.workers.values()]
+        self.cut(name, [*machines, *self.node_names, "state", "cloud", "user"], hold, length)
+
     def _heal(self, pairs: list[frozenset[str]]) -> None:
         for pair in pairs:
             for send in self.cuts.pop(pair, None) or []:
