One bound for renewals and starts; no lease kept where a cancelled start may land

Cause: renewals were bound by the time since a node last knew all cancellations, direct starts were not; and nothing ended the session of a machine to which an unanswered start of a cancelled task might still come, but the cloud. A node on its own now sees from the records where such a start may be under way. What a worker says is taken in also where its lease must run out.

--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -27,6 +27,7 @@
 from spindleglade.tasks import keep
 from spindleglade.web import Answer, HttpClient, Requester, Turns, site
 from spindleglade.workers.api import WorkerApi
+from spindleglade.workers.bound import CancellationBound
 from spindleglade.workers.messages import Report, ReportAnswer, decode_report
 from spindleglade.workers.relay import Relays
 from spindleglade.workers.spread import Load, Solitude, Spread
@@ -165,11 +166,15 @@
         workers = params.workers
         self._spread = Spread(clock, workers.report, len(platform.siblings), workers.lease)
         self._cut_off: timedelta | None = None
+        self._bound = CancellationBound(
+            clock,
+            workers.cancel - workers.lease - seconds(settings.workers.cancel_margin_s),
+            lambda: self.replica.confirmed,
+        )
         self.workers = WorkerApi(
             clock,
-            self.replica,
             self.views,
-            workers.cancel - workers.lease - seconds(settings.workers.cancel_margin_s),
+            self._bound,
             self._lead,
             lambda: self.leads,
             Relays(clock, seconds(settings.workers.relay_window_s), self._relay).send,
@@ -210,6 +215,7 @@
             self.cloud,
             self.types,
             self._proven,
+            self._bound,
             self.election.step_down,
         )
         self.reign.start()
--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -22,6 +22,7 @@
 from spindleglade.tasks import spawn
 from spindleglade.web import Turns
 from spindleglade.workers.attempts import Deposed, Rules
+from spindleglade.workers.bound import CancellationBound
 from spindleglade.workers.dispatch import Dispatcher
 from spindleglade.workers.ledger import Ledger
 from spindleglade.workers.messages import Report, ReportAnswer
@@ -43,6 +44,7 @@
         cloud: CloudClient,
         types: TypeBook,
         proven: Callable[[], bool],
+        bound: CancellationBound,
         deposed: Callable[[str], None],
     ) -> None:
         self.term = term
@@ -55,6 +57,7 @@
         self._cloud = cloud
         self._types = types
         self._proven = proven
+        self._bound = bound
         self._deposed = deposed
         self._ended = False
         # Everything has been read: from here on it orders.
@@ -128,7 +131,13 @@
             ledger, self._client, self._clock, self.term, marks, self._committed, self._deposed
         )
         self._dispatcher = Dispatcher(
-            ledger, self._machines, self._clock, seconds(own.order_timeout_s), self._deposed, self._changed
+            ledger,
+            self._machines,
+            self._clock,
+            seconds(own.order_timeout_s),
+            self._deposed,
+            self._changed,
+            self._bound,
         )
         self._fleet = FleetManager(
             ledger,
@@ -191,15 +200,18 @@
             self.ledger.vouch(machines, self._clock.now())
 
     def report(self, report: Report) -> ReportAnswer | None:
+        """The answer, or nothing where the worker's lease must not be renewed. What the report says is taken
+        in all the same: the machines used to be given up as silent while they were only not answered."""
         before = self.ledger.changes
+        holds = self._bound.holds
         try:
-            orders = self.ledger.report(report, self._clock.now(), asked=True)
+            orders = self.ledger.report(report, self._clock.now(), asked=holds)
         except Deposed as error:
             self._deposed(str(error))
             return None
         if self.ledger.changes != before:
             self._changed()
-        return None if orders is None else ReportAnswer(self.term.token, orders)
+        return None if orders is None or not holds else ReportAnswer(self.term.token, orders)
 
     def _changed(self) -> None:
         if self.active:
--- a/spindleglade/submissions/api.py
+++ b/spindleglade/submissions/api.py
@@ -141,8 +141,7 @@
             return LATER
         if view is None:
             return _error(404, "no such job")
-        running = sum(view.running.values())
-        return Answer(200, encode_json(StateAnswer(job, view.stage, view.done_count, running)))
+        return Answer(200, encode_json(StateAnswer(job, view.stage, view.done_count, view.running)))
 
     async def _abort(self, job: str) -> Answer:
         for _ in range(4):
--- a/spindleglade/submissions/records.py
+++ b/spindleglade/submissions/records.py
@@ -82,14 +82,19 @@
     """What a node knows of a job to answer its user."""
 
     record: JobRecord
+    # By chunk: tasks done, and the machines and their sessions that may have a task.
     done: dict[int, int] = {}
-    running: dict[int, int] = {}
+    placed: dict[int, list[tuple[str, int]]] = {}
 
     @property
     def stage(self) -> str:
         if self.record.stage != "open":
             return self.record.stage
-        return "running" if any(self.running.values()) else "pending"
+        return "running" if any(self.placed.values()) else "pending"
+
+    @property
+    def running(self) -> int:
+        return sum(map(len, self.placed.values())) if self.record.stage == "open" else 0
 
     @property
     def done_count(self) -> int:
@@ -101,6 +106,21 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobView] = {}
+        # Aborted jobs whose tasks are not all on record as over yet, and where those may be.
+        self._lingering: set[str] = set()
+        self._where: set[tuple[str, int]] | None = set()
+
+    def may_get_aborted(self, machine: str, session: int) -> bool:
+        """Whether a task of an aborted job is on record as placed there: it may run, or its start may still
+        be under way."""
+        if self._where is None:
+            self._where = {
+                where
+                for job in self._lingering
+                for chunk in self.jobs[job].placed.values()
+                for where in chunk
+            }
+        return (machine, session) in self._where
 
     def listener(self, key: str, value: bytes | None, mark: int) -> None:
         if key.startswith(JOBS):
@@ -113,11 +133,27 @@
             else:
                 view.record = record
                 if record.stage != "open":
-                    view.done, view.running = {}, {}
-        elif key.startswith(TASKS) and value is not None:
+                    view.done = {}
+                if record.stage == "done":
+                    view.placed = {}
+                elif record.stage == "aborted":
+                    self._linger(record.spec.id, view)
+        elif key.startswith(TASKS):
             job, number = split_chunk_key(key)
             view = self.jobs.get(job)
-            if view is not None and view.record.stage == "open":
-                chunk = msgspec.json.decode(value, type=Chunk)
-                view.done[number] = chunk.count_done()
-                view.running[number] = len(chunk.placed)
+            if view is None or view.record.stage == "done":
+                return
+            chunk = Chunk() if value is None else msgspec.json.decode(value, type=Chunk)
+            view.done[number] = chunk.count_done()
+            view.placed[number] = [(placed.machine, placed.session) for placed in chunk.placed.values()]
+            if view.record.stage == "aborted":
+                view.done = {}
+                self._linger(job, view)
+
+    def _linger(self, job: str, view: JobView) -> None:
+        self._where = None
+        if any(view.placed.values()):
+            self._lingering.add(job)
+        else:
+            view.placed = {}
+            self._lingering.discard(job)
--- a/spindleglade/workers/api.py
+++ b/spindleglade/workers/api.py
@@ -14,9 +14,9 @@
 import msgspec
 
 from spindleglade.clock import Clock
-from spindleglade.store.replica import Replica
 from spindleglade.submissions.records import JobViews
 from spindleglade.web import Answer
+from spindleglade.workers.bound import CancellationBound
 from spindleglade.workers.messages import Report, ReportAnswer, decode_report, split_task
 from spindleglade.workers.spread import Solitude, Spread
 
@@ -34,9 +34,8 @@
     def __init__(
         self,
         clock: Clock,
-        replica: Replica,
         views: JobViews,
-        alone_for: timedelta,
+        bound: CancellationBound,
         lead: Callable[[Report], ReportAnswer | None],
         leads: Callable[[], bool],
         relay: Callable[[bytes], Awaitable[bytes | None]],
@@ -45,10 +44,9 @@
         solitude: Solitude,
     ) -> None:
         self._clock = clock
-        self._replica = replica
         self._views = views
-        # How long after its last proof of being current a node may renew leases.
-        self._alone_for = alone_for
+        # For renewals without the leader, which is bound by its own.
+        self._bound = bound
         self._lead = lead
         self._leads = leads
         self._relay = relay
@@ -88,19 +86,17 @@
 
     def lead(self, report: Report) -> bytes | None:
         """The leader's answer, for its own workers and those of its siblings."""
-        if not self._may_renew(report):
-            return None
         answer = self._lead(report)
         return None if answer is None else msgspec.json.encode(answer)
 
-    def _may_renew(self, report: Report) -> bool:
-        confirmed = self._replica.confirmed
-        return confirmed is not None and self._clock.now() - confirmed <= self._alone_for
-
     def _alone(self, report: Report, newest: bool) -> Answer:
         """Without the leader. A late copy of a report says nothing of how the machine is now: nothing is
         renewed for it, and nobody told that the machine lives."""
-        if not newest or not self._may_renew(report):
+        if not newest or not self._bound.holds:
+            return NOT_OURS
+        if self._views.may_get_aborted(report.machine, report.session):
+            # A start of such a task may be on its way there, however long it has been held up. Only the end
+            # of the session ends that, and nobody here could stop the task.
             return NOT_OURS
         if self._solitude.send_on(report.machine, report.zone):
             return _elsewhere(None)
--- a/spindleglade/workers/dispatch.py
+++ b/spindleglade/workers/dispatch.py
@@ -10,6 +10,7 @@
 from spindleglade.tasks import spawn
 from spindleglade.web import Crowded, NoAnswer, NotSent, Requester, Response
 from spindleglade.workers.attempts import Deposed, Machine
+from spindleglade.workers.bound import CancellationBound
 from spindleglade.workers.ledger import Ledger
 from spindleglade.workers.messages import Order, Orders, Report, decode_report
 
@@ -25,6 +26,7 @@
         timeout: timedelta,
         deposed: Callable[[str], None],
         changed: Callable[[], None],
+        bound: CancellationBound,
     ) -> None:
         self._ledger = ledger
         self._http = http
@@ -32,6 +34,7 @@
         self._timeout = timeout
         self._deposed = deposed
         self._changed = changed
+        self._bound = bound
         self._stopped = False
 
     def stop(self) -> None:
@@ -40,7 +43,7 @@
     def send(self) -> None:
         if self._stopped:
             return
-        for machine, session, orders in self._ledger.to_send(self._clock.now()):
+        for machine, session, orders in self._ledger.to_send(self._clock.now(), self._bound.holds):
             spawn(self._send(machine, session, orders), "send")
 
     def greet(self, address: str, session: int) -> None:
--- a/spindleglade/workers/intake.py
+++ b/spindleglade/workers/intake.py
@@ -13,7 +13,8 @@
 class Intake(Orders):
     def report(self, report: Report, now: timedelta, asked: bool) -> list[Order] | None:
         """Takes in a worker's report; `asked` if it came by the worker's own request, so that its answer
-        may carry orders. Returns them, or None if the machine is none of ours any more."""
+        may carry orders. Returns them, or None if the machine is none of ours any more or its lease must run
+        out."""
         with self.lock:
             if report.token > self.token:
                 raise Deposed(report.token)
@@ -33,7 +34,7 @@
             if (report.session, report.tally) <= (machine.session, machine.tally):
                 # A late copy, or overtaken by a newer one: its list is as old as it is, and it says nothing
                 # of how the machine is now. Answered all the same: the worker drops what it does not await.
-                return []
+                return None if self._may_get_aborted(machine) else []
             self.heard = machine.heard = now
             machine.mute = None
             if (
@@ -49,6 +50,10 @@
             self._take_report(machine, report, now, asked)
             if not asked:
                 return []
+            if self._may_get_aborted(machine):
+                # Nothing takes such a start back but the end of the session: were the lease renewed until the
+                # cloud gives the machine up, a start held up for a minute would run a cancelled task.
+                return None
             machine.answered = now
             orders = self._orders(machine, now, report.tally)
             if not orders and report.token == self.token and self._settled(machine):
--- a/spindleglade/workers/orders.py
+++ b/spindleglade/workers/orders.py
@@ -9,10 +9,14 @@
 
 
 class Orders(Book):
-    def _orders(self, machine: Machine, now: timedelta, tally: int | None) -> list[Order]:
+    def _orders(
+        self, machine: Machine, now: timedelta, tally: int | None, starts: bool = True
+    ) -> list[Order]:
         """What to tell the machine now. `tally` is that of the report being answered, None for a message of
         our own; starts already under way one way are not sent another."""
         orders = self._pending_orders(machine)
+        if not starts:
+            return orders
         for assignment in machine.placed.values():
             if len(orders) >= MOST_ORDERS:
                 break
@@ -61,8 +65,10 @@
             and assignment.job.open
         )
 
-    def to_send(self, now: timedelta) -> list[tuple[Machine, int, list[Order]]]:
-        """Orders to send straight to machines: those that bear no waiting for the next report."""
+    def to_send(self, now: timedelta, starts: bool = True) -> list[tuple[Machine, int, list[Order]]]:
+        """Orders to send straight to machines: those that bear no waiting for the next report. Without
+        `starts` no task is started: its job may be cancelled by now, and this leader not know. Stops do no
+        harm at any time."""
         found = []
         with self.lock:
             due, self.due = self.due, {}
@@ -78,7 +84,10 @@
                     or not any(self._pressing(machine, assignment) for assignment in machine.placed.values())
                 ):
                     continue
-                orders = self._orders(machine, now, None)
+                orders = self._orders(machine, now, None, starts)
+                if not starts:
+                    # What is withheld is looked at again once this leader knows enough.
+                    self.due[name] = None
                 if orders:
                     machine.sending, machine.steady = True, None
                     found.append((machine, machine.session, orders))
--- a/spindleglade/workers/test_ledger.py
+++ b/spindleglade/workers/test_ledger.py
@@ -97,6 +97,9 @@
     def sent(self, orders, unsure):
         self.ledger.sent(self.ledger.machines["n-1"], orders, unsure, self.now)
 
+    def abort(self):
+        self.ledger.take_job(JobRecord("aborted", spec(), 1), 50)
+
     def running(self):
         """A book with task 0 placed, recorded, started and seen running."""
         self.report()
@@ -205,6 +208,31 @@
     assert book.state() == PLACED
 
 
+def test_no_lease_is_renewed_while_an_unanswered_start_may_bring_an_aborted_task():
+    """It was renewed until the cloud had given the machine up; while the cloud had trouble the start could
+    land minutes after the cancellation, and run."""
+    book = Book()
+    book.report()
+    book.place()
+    book.record()
+    book.sent(book.direct(), unsure=True)
+    assert book.report() == START
+    book.abort()
+    assert book.report() is None
+    # Overtaken by an answer to a direct message: the worker awaits its answer all the same.
+    assert book.report(tally=1) is None
+    # It has landed: from here on it can be stopped, and so can a copy of it.
+    assert [order.verb for order in book.report(("job-1/0", 1, "running"))] == ["stop"]
+    book = Book()
+    book.report()
+    book.place()
+    book.record()
+    book.sent(book.direct(), unsure=True)
+    book.abort()
+    assert book.report() is None
+    assert book.report(session=2) == []
+
+
 def test_a_late_copy_shows_nothing_of_how_the_machine_is():
     book = Book().running()
     heard = book.now
@@ -490,7 +518,7 @@
 
     @rule()
     def abort(self):
-        self.book.ledger.take_job(JobRecord("aborted", spec(), 1), 50)
+        self.book.abort()
 
     @invariant()
     def what_runs_is_booked(self):
--- a/spindleglade/workers/test_reports.py
+++ b/spindleglade/workers/test_reports.py
@@ -8,24 +8,25 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from spindleglade.clock import ManualClock, seconds
-from spindleglade.submissions.records import JobViews
+from spindleglade.store.client import raw
+from spindleglade.submissions.records import Chunk, JobRecord, JobViews, Placement, chunk_key, job_key
 from spindleglade.workers.api import WorkerApi
+from spindleglade.workers.bound import CancellationBound
 from spindleglade.workers.messages import Report, decode_report
 from spindleglade.workers.relay import Relays
 from spindleglade.workers.spread import Load, Solitude, Spread
+from spindleglade.workers.test_ledger import spec
 
 LEASE, REPORT = seconds(10), seconds(1)
 
 
-class Confirmed:
-    confirmed = timedelta(0)
-
-
 class Node:
     """A follower that reaches no leader, cut off from store and siblings since `since`."""
 
     def __init__(self, since=None, zone="a"):
         self.clock = ManualClock()
+        self.views = JobViews()
+        self.proven = timedelta(0)
         self.since = since
 
         async def relay(body):
@@ -33,9 +34,8 @@
 
         self.api = WorkerApi(
             self.clock,
-            Confirmed(),
-            JobViews(),
-            seconds(17),
+            self.views,
+            CancellationBound(self.clock, seconds(17), lambda: self.proven),
             lambda report: None,
             lambda: False,
             relay,
@@ -62,6 +62,42 @@
     assert node.report(1, session=2) == 200
 
 
+def test_a_node_renews_only_for_so_long_after_its_last_proof():
+    node = Node()
+    node.clock.advance(seconds(17))
+    assert node.report(1) == 200
+    node.clock.advance(seconds(0.1))
+    assert node.report(2) == 503
+    node.proven = node.clock.now()
+    assert node.report(3) == 200
+    node.proven = None
+    assert node.report(4) == 503
+
+
+def test_no_lease_is_renewed_alone_where_a_start_of_an_aborted_job_may_be_under_way():
+    """A start that went straight to the machine may be held up for minutes, and runs if the session lives
+    then. The worker's reports show nothing of it, but the record that came before it does."""
+    node = Node()
+
+    def tell(stage, chunk):
+        view = raw(JobRecord(stage, spec("job-1"), 2))
+        node.views.listener(job_key("job-1"), view, 1)
+        node.views.listener(chunk_key("job-1", 0), chunk and raw(chunk), 2)
+
+    placed = Chunk(placed={0: Placement(1, "n-1", 1)})
+    tell("open", placed)
+    assert node.report(1) == 200
+    tell("aborted", placed)
+    assert node.report(2) == 503
+    # Another machine, and another session of this one, which such a start cannot reach.
+    assert node.report(3, "n-2") == 200 and node.report(1, session=2) == 200
+    # The leader has recorded the proof that it is over.
+    tell("aborted", None)
+    assert node.report(4, session=1) == 503 and node.report(5, session=2) == 200
+    node.views.listener(chunk_key("job-1", 0), raw(Chunk(placed={1: Placement(1, "n-1", 2)})), 3)
+    assert node.report(6, session=2) == 503
+
+
 def test_a_node_that_is_cut_off_alone_sends_workers_on_once():
     node = Node(since=timedelta(0))
     node.clock.advance(seconds(1))
