A leader goes by its siblings' word on cancellations while the store is away

Cause: in an outage longer than cancel_s less the lease and the margin every lease ran out, though no cancellation could be confirmed without the store. Siblings now state with each ping the cancellations they know of; a leader that has every sibling's word, of processes that were heard before the last proof by the store, knows all that anybody told. A node that confirms one knows it before its user does, without the watch. Only the leader may use this: a node on its own would not know of starts under way.

--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from functools import partial
 from typing import Any
+from uuid import uuid4
 
 import msgspec
 from twisted.internet.endpoints import TCP4ServerEndpoint
@@ -16,6 +17,7 @@
 from spindleglade.fleet.types import TypeBook
 from spindleglade.leadership.election import Election, Term
 from spindleglade.leadership.links import Forward, LinkDown, Links, Ping, Relay, Siblings
+from spindleglade.leadership.statements import Statements
 from spindleglade.reign import Reign
 from spindleglade.settings import OperatorSettings, Platform
 from spindleglade.settings.platform import split_address
@@ -23,7 +25,7 @@
 from spindleglade.store.client import Condition, Put, StateClient, Unavailable, Unknown, raw
 from spindleglade.store.replica import Replica
 from spindleglade.submissions.api import UserApi
-from spindleglade.submissions.records import JOBS, PREFIX, VOUCHED, JobRecord, JobViews
+from spindleglade.submissions.records import JOBS, PREFIX, VOUCHED, JobRecord, JobViews, job_key
 from spindleglade.tasks import keep
 from spindleglade.web import Answer, HttpClient, Requester, Turns, site
 from spindleglade.workers.api import WorkerApi
@@ -159,6 +161,14 @@
         self._busy = timedelta(days=-1)
         self.reign: Reign | None = None
         self.replica.listen(self._job_changed)
+        # Tells siblings this process from the one before.
+        self._process = uuid4().hex
+        self._statements = Statements(
+            clock,
+            [sibling.name for sibling in platform.siblings],
+            lambda: self.replica.confirmed,
+            self._abort_stated,
+        )
         self.links = connect(self._hello, self._relayed, self._forwarded, self._saw, self.election.suspect)
         self.users = UserApi(
             self.client, self.replica, self.views, platform.teams, self.types.shapes, self._forward, clock.utc
@@ -166,11 +176,14 @@
         workers = params.workers
         self._spread = Spread(clock, workers.report, len(platform.siblings), workers.lease)
         self._cut_off: timedelta | None = None
+        lasts = workers.cancel - workers.lease - seconds(settings.workers.cancel_margin_s)
         self._bound = CancellationBound(
             clock,
-            workers.cancel - workers.lease - seconds(settings.workers.cancel_margin_s),
+            lasts,
             lambda: self.replica.confirmed,
         )
+        # The leader knows what it has started, so it may go by its siblings' word as well.
+        self._leaders_bound = CancellationBound(clock, lasts, lambda: self._statements.proven)
         self.workers = WorkerApi(
             clock,
             self.views,
@@ -215,7 +228,7 @@
             self.cloud,
             self.types,
             self._proven,
-            self._bound,
+            self._leaders_bound,
             self.election.step_down,
         )
         self.reign.start()
@@ -323,13 +336,30 @@
 
     # Siblings.
 
-    def _hello(self) -> Ping:
+    def _hello(self, turn: int | None) -> Ping:
         confirmed = self.replica.confirmed
         age = None if confirmed is None else int((self._clock.now() - confirmed) / timedelta(milliseconds=1))
-        return Ping(self._platform.name, self.election.highest, self.leads, age, self._spread.workers)
+        return Ping(
+            self._platform.name,
+            self.election.highest,
+            self.leads,
+            age,
+            self._spread.workers,
+            self._process,
+            self.replica.turn,
+            None if turn is None else self.views.aborts_since(turn),
+        )
 
-    def _saw(self, ping: Ping) -> None:
+    def _saw(self, ping: Ping, asked: timedelta | None) -> None:
         self.election.saw_token(ping.token)
+        self._statements.heard(ping.node, ping.process, ping.aborts, asked)
+
+    def _abort_stated(self, job: str, mark: int) -> None:
+        """A sibling has told a user, or may yet, that this job is aborted."""
+        view = self.views.jobs.get(job)
+        if view is not None and view.record.stage == "open":
+            aborted = msgspec.structs.replace(view.record, stage="aborted")
+            self.replica.learn(job_key(job), raw(aborted), mark)
 
     def _serving(self, link: Any) -> bool:
         """Whether the sibling can be asked and has lately reached the store."""
--- a/spindleglade/leadership/links.py
+++ b/spindleglade/leadership/links.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections import deque
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Any, Protocol
@@ -33,6 +34,13 @@
     unconfirmed_ms: int | None
     # Workers that report to the sender.
     workers: int = 0
+    # The sender's process: another after each restart.
+    process: str = ""
+    # The revision up to which the sender knows all.
+    turn: int = 0
+    # In an answer: the cancellations the sender knows of since the asker's revision, by job and mark; None if
+    # they are too many to state.
+    aborts: list[tuple[str, int]] | None = None
 
 
 class Relay(msgspec.Struct, tag="relay", array_like=True):
@@ -66,6 +74,11 @@
     body: bytes
 
 
+# Makes a ping; given the revision of an asker, the answer to its ping.
+Hello = Callable[[int | None], Ping]
+# Told of each ping heard, and when it was asked for if it is an answer.
+Saw = Callable[[Ping, timedelta | None], None]
+
 Message = Ping | Relay | Relayed | Forward | Forwarded
 _decoder = msgspec.msgpack.Decoder(Message)
 _encode = msgspec.msgpack.encode
@@ -112,9 +125,7 @@
 class Link:
     """The connection to one sibling."""
 
-    def __init__(
-        self, reactor: Any, clock: Clock, sibling: Sibling, ping: timedelta, hello: Callable[[], Ping]
-    ) -> None:
+    def __init__(self, reactor: Any, clock: Clock, sibling: Sibling, ping: timedelta, hello: Hello) -> None:
         self._reactor = reactor
         self._clock = clock
         self._ping = ping
@@ -129,8 +140,9 @@
         # When the ping was sent that the sibling last answered. What is heard after standing still may have
         # been said before; this shows how old it is.
         self.shown: timedelta | None = None
-        self._asked: timedelta | None = None
-        self.saw: Callable[[Ping], None] = lambda ping: None
+        # When the pings were sent that are not answered yet. Answers come in their order.
+        self._asked: deque[timedelta] = deque()
+        self.saw: Saw = lambda ping, asked: None
         # Told when the sibling's process seems to have ended: its end closed the link, and its port refuses.
         self.ended: Callable[[str], None] = lambda name: None
         self._closed: timedelta | None = None
@@ -166,11 +178,10 @@
                 await sleep(self._clock, self._ping)
                 continue
             self.heard = self._clock.now()
-            self._asked = None
+            self._asked.clear()
             while self._connection is not None:
-                if self._asked is None:
-                    self._asked = self._clock.now()
-                self._connection.send(self._hello())
+                self._asked.append(self._clock.now())
+                self._connection.send(self._hello(None))
                 await self._pause()
                 if self._connection is not None and not self.up:
                     self._connection.transport.abortConnection()
@@ -216,8 +227,10 @@
         self.heard = self._clock.now()
         if isinstance(message, Ping):
             self.state = message
-            self.shown, self._asked = self._asked, None
-            self.saw(message)
+            if connection is not self._connection or not self._asked:
+                return
+            self.shown = self._asked.popleft()
+            self.saw(message, self.shown)
         elif isinstance(message, (Relayed, Forwarded)):
             waiter = self._waiting.pop(message.number, None)
             if waiter is not None:
@@ -266,10 +279,10 @@
         clock: Clock,
         siblings: list[Sibling],
         ping: timedelta,
-        hello: Callable[[], Ping],
+        hello: Hello,
         relay: Callable[[list[bytes]], list[bytes] | None],
         forward: Callable[[str, str, bytes], Awaitable[Any]],
-        saw: Callable[[Ping], None],
+        saw: Saw,
         ended: Callable[[str], None],
     ) -> None:
         self._hello = hello
@@ -295,8 +308,8 @@
 
     def _asked(self, connection: _Connection, message: Message) -> None:
         if isinstance(message, Ping):
-            self._saw(message)
-            connection.send(self._hello())
+            self._saw(message, None)
+            connection.send(self._hello(message.turn))
         elif isinstance(message, Relay):
             connection.send(Relayed(message.number, self._relay(message.reports)))
         elif isinstance(message, Forward):
--- a/spindleglade/leadership/test_leadership.py
+++ b/spindleglade/leadership/test_leadership.py
@@ -16,7 +16,17 @@
 
 numbers = st.integers(0, (1 << 63) - 1)
 messages = st.one_of(
-    st.builds(Ping, st.text(), numbers, st.booleans(), st.none() | numbers, numbers),
+    st.builds(
+        Ping,
+        st.text(),
+        numbers,
+        st.booleans(),
+        st.none() | numbers,
+        numbers,
+        st.text(),
+        numbers,
+        st.none() | st.lists(st.tuples(st.text(), numbers)),
+    ),
     st.builds(Relay, numbers, st.lists(st.binary())),
     st.builds(Relayed, numbers, st.none() | st.lists(st.binary())),
     st.builds(Forward, numbers, st.text(), st.text(), st.binary()),
@@ -36,7 +46,12 @@
     except msgspec.DecodeError:
         return
     # What decodes must be a message of ours to the byte.
-    assert data[:1] in (b"\x92", b"\x93", b"\x94", b"\x95", b"\x96")
+    assert data[:1] in (b"\x92", b"\x93", b"\x94", b"\x95", b"\x96", b"\x97", b"\x98", b"\x99")
+
+
+def test_a_sibling_of_the_version_before_is_understood_and_states_nothing():
+    ping = decode_message(msgspec.msgpack.encode(["ping", "node-1", 3, True, 12, 40]))
+    assert (ping.node, ping.workers, ping.process, ping.aborts) == ("node-1", 40, "", None)
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -188,7 +203,7 @@
     """A process that goes on after 20 s first reads what its siblings said before: it would have taken that
     for a proof that it still leads."""
     clock, wire = ManualClock(), Wire()
-    link = Link(None, clock, Sibling("other", "a", "10.0.0.1:1"), seconds(0.5), lambda: ping)
+    link = Link(None, clock, Sibling("other", "a", "10.0.0.1:1"), seconds(0.5), lambda turn: ping)
     ping = Ping("other", 1, False, 0)
 
     async def connect(host, port):
@@ -205,3 +220,11 @@
     clock._now += seconds(20)
     link._received(wire, ping)
     assert link.heard == clock.now() and link.shown == seconds(0.5)
+    # Each answer belongs to one question, in their order; one more than was asked shows nothing.
+    link._received(wire, ping)
+    link._received(wire, ping)
+    assert link.shown == seconds(1)
+    # What a connection before this one still brings answers nothing that was asked here.
+    clock.advance(seconds(0.5))
+    link._received(Wire(), ping)
+    assert link.shown == seconds(1)
--- a/spindleglade/store/replica.py
+++ b/spindleglade/store/replica.py
@@ -118,6 +118,12 @@
                 # One listener's trouble with one key must not end the watch, by which all else is learned.
                 log.exception("change not taken key=%s", key)
 
+    def learn(self, key: str, value: bytes, mark: int) -> None:
+        """A value that the store is known to hold, before the watch tells of it: this node wrote it, or a
+        sibling has read it. Only for keys that are never removed."""
+        if mark > self.marks.get(key, 0):
+            self._take(key, value, mark)
+
     async def _prove(self) -> None:
         while True:
             await sleep(self._clock, self._every)
--- a/spindleglade/submissions/api.py
+++ b/spindleglade/submissions/api.py
@@ -163,6 +163,9 @@
                 log.info("abort not taken job=%s reason=%s", job, error)
                 return LATER
             if isinstance(result, Committed):
+                # Before its user hears of it: whoever this node tells what it knows must be told of this, and
+                # if it leads, the tasks end without waiting for the watch, which an outage may hold up.
+                self._replica.learn(key, raw(aborted), result.turn)
                 log.info("aborted job=%s", job)
                 return Answer(200, encode_json(JobAnswer(job, "aborted")))
         return LATER
--- a/spindleglade/submissions/records.py
+++ b/spindleglade/submissions/records.py
@@ -4,6 +4,7 @@
 in chunks, one key each, written by the leader only. A task that no chunk speaks of has never been tried.
 """
 
+from bisect import bisect_right, insort
 from datetime import datetime
 from typing import Literal
 
@@ -101,6 +102,10 @@
         return self.record.spec.tasks if self.record.stage == "done" else sum(self.done.values())
 
 
+# Aborts that one message between siblings tells of.
+MOST_ABORTS = 2000
+
+
 class JobViews:
     """All jobs as the replica shows them. Filled by the replica's changes, on the reactor's thread."""
 
@@ -108,8 +113,18 @@
         self.jobs: dict[str, JobView] = {}
         # Aborted jobs whose tasks are not all on record as over yet, and where those may be.
         self._lingering: set[str] = set()
+        # Every abort known, by the mark of its record.
+        self._aborts: list[tuple[int, str]] = []
         self._where: set[tuple[str, int]] | None = set()
 
+    def aborts_since(self, turn: int) -> list[tuple[str, int]] | None:
+        """The jobs known to be aborted, and the marks of their records, by changes after that revision; None
+        if they are too many to tell."""
+        first = bisect_right(self._aborts, (turn, "\U0010ffff"))
+        if len(self._aborts) - first > MOST_ABORTS:
+            return None
+        return [(job, mark) for mark, job in self._aborts[first:]]
+
     def may_get_aborted(self, machine: str, session: int) -> bool:
         """Whether a task of an aborted job is on record as placed there: it may run, or its start may still
         be under way."""
@@ -138,6 +153,8 @@
                     view.placed = {}
                 elif record.stage == "aborted":
                     self._linger(record.spec.id, view)
+            if record.stage == "aborted":
+                insort(self._aborts, (mark, record.spec.id))
         elif key.startswith(TASKS):
             job, number = split_chunk_key(key)
             view = self.jobs.get(job)
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -4,6 +4,7 @@
 import pytest
 
 from spindleglade.clock import seconds
+from spindleglade.tasks import spawn
 from tests.world import CANCEL, World
 
 
@@ -41,9 +42,53 @@
     # The lease in the store has its full time again afterwards: the old leader's key lives through it all.
     world.state.outage(CANCEL + seconds(15))
     world.clock.later(seconds(14), world.refused.clear)
-    world.run(CANCEL + seconds(30))
+    begun = world.started
+    world.run(CANCEL + seconds(10))
+    if siblings:
+        # They state what they have confirmed, so the work of the job that nobody cancelled goes on.
+        assert world.started == begun and sum(map(len, world.on.values())) == 2
+    world.run(seconds(20))
     assert all(not world.on.get(f"{job}/{index}") for job in jobs[:2] for index in range(2))
     world.run(seconds(40))
     world.poll(jobs[2])
     world.run(seconds(1))
     assert world.told[jobs[2]] in ("pending", "running", "done")
+
+
+def test_work_outlives_an_outage_longer_than_a_cancellation():
+    """All leases ran out in it, though no cancellation could be confirmed without the store."""
+    world, jobs, leader = busy(7)
+    begun = world.started
+    world.state.outage(CANCEL * 2)
+    world.run(CANCEL * 2 + seconds(5))
+    assert world.started == begun and sum(map(len, world.on.values())) == 6
+    # Nor does a restart in it let anybody renew who cannot know what the process before had told.
+    world.state.outage(CANCEL * 2)
+    world.run(seconds(2))
+    follower = (world.leader() + 1) % 3
+    world.kill_node(follower)
+    world.run(seconds(1))
+    world.start_node(follower)
+    world.run(CANCEL)
+    assert not any(world.on.values())
+
+
+def test_whoever_has_confirmed_a_cancellation_knows_it_without_the_watch():
+    """The store may be down for all a moment after the transaction, before the watch tells of it."""
+    world, jobs, leader = busy(8)
+    for (name, node), job in zip(world.nodes.items(), jobs, strict=True):
+        node.replica.apply = lambda turn, changes: None
+        answers = []
+
+        async def abort(node=node, job=job, answers=answers):
+            answers.append(await node.handle("POST", f"/submissions/{job}/abort", b""))
+            answers.append(node.views.aborts_since(0))
+
+        spawn(abort(), "aborting")
+        while len(answers) < 2:
+            world.run(seconds(0.05))
+        assert b'"aborted"' in answers[0].body and job in dict(answers[1]), name
+    # The leader stops its tasks at once, and those of the others once their next pings have told it.
+    ledger = world.nodes[leader].reign.ledger
+    world.run(seconds(1.5))
+    assert all(ledger.jobs[job].aborted for job in jobs if job in ledger.jobs)
--- a/tests/world.py
+++ b/tests/world.py
@@ -224,7 +224,8 @@
     def _ping(self) -> None:
         for link in self.links:
             if link.linked:
-                state = self._world.nodes[link.other]._hello()
+                turn = self._world.nodes[self._own].replica.turn
+                state = self._world.nodes[link.other]._hello(turn)
                 life = self._world.lives[self._own]
                 life.later(seconds(0.005), self._hear, link, state, life.now())
         self._world.lives[self._own].later(seconds(0.5), self._ping)
@@ -232,7 +233,7 @@
     def _hear(self, link: SimLink, state: Ping, asked: timedelta) -> None:
         if link.linked:
             link.heard, link.state, link.shown = self._world.lives[self._own].now(), state, asked
-            self._saw(state)
+            self._saw(state, asked)
 
     def to(self, node: str) -> SimLink | None:
         return next((link for link in self.links if link.other == node and link.up), None)
