Replica: a listing overtaken by a catch-up brings no removed key back

A listing is read page by page and may arrive after catch-ups that were asked later. Keys that these had shown removed were taken in again, and the removal was never told a second time: the copy kept them for good. For the leader key that means that this node never stands for election again. What a listing shows from before the copy's own revision is now left alone. Found with generated listings, pages and catch-ups; seen to fail before.

--- a/spindleglade/store/replica.py
+++ b/spindleglade/store/replica.py
@@ -84,7 +84,9 @@
         listing = await self._client.read_all(self._prefix)
         present = {entry.key for entry in listing.entries}
         for entry in listing.entries:
-            if entry.mark > self.marks.get(entry.key, 0):
+            # A catch-up may have overtaken the listing. What it shows from before the copy's own revision is
+            # known already, or was removed since: taken in, such a key would never go again.
+            if entry.mark > max(self.turn, self.marks.get(entry.key, 0)):
                 self._take(entry.key, bytes(entry.value), entry.mark)
         gone = [key for key, mark in self.marks.items() if key not in present and mark <= listing.turn]
         for key in gone:
--- a/spindleglade/store/test_store.py
+++ b/spindleglade/store/test_store.py
@@ -11,6 +11,7 @@
 from spindleglade.store.budget import Budget
 from spindleglade.store.client import Change, Entry, Listing, TooOld, Unavailable
 from spindleglade.store.replica import Replica, Unconfirmed
+from spindleglade.tasks import spawn
 
 OPS = st.lists(
     st.tuples(st.sampled_from(["put", "remove"]), st.sampled_from("abc"), st.integers(0, 9)), max_size=30
@@ -70,6 +71,46 @@
         assert replica.marks == {key: mark for key, (_, mark) in expected.items()}
 
 
+@given(
+    OPS,
+    st.lists(
+        st.tuples(st.booleans(), st.integers(0, 30), st.integers(0, 8), st.integers(0, 8)),
+        max_size=12,
+    ),
+)
+def test_a_listing_overtaken_by_catch_ups_brings_nothing_back(ops, steps):
+    """Pages are read one after the other while the keys change, and the last may arrive after catch-ups that
+    were asked later. A key that was removed meanwhile came back for good then: with the leader key, nobody
+    would ever have stood for election again."""
+    store = Store(ops)
+    client, newest = Scripted(), len(store.log)
+    _, replica, held = make(client)
+    for listing, back, ahead, step in steps:
+        if not listing:
+            since = max(0, replica.turn - back)
+            replica.apply(*store.changes(since, min(newest, since + ahead)))
+        else:
+            # What the replica had when it asked may be older than what it has when the answer comes.
+            turn = at = max(0, replica.turn - back)
+            entries = []
+            for key in "abc":
+                if at and key in store.at[at - 1]:
+                    value, mark = store.at[at - 1][key]
+                    entries.append(Entry(key, msgspec.Raw(b"%d" % value), mark))
+                at = min(newest, at + step)
+            before = replica.turn
+            spawn(replica._load(), "load")
+            client.asked.pop().callback(Listing(entries, turn))
+            assert replica.turn == max(before, turn)
+            # Later pages may be ahead of the turn; what follows from there makes up for it.
+            replica.apply(*store.changes(replica.turn, min(newest, max(replica.turn, at) + ahead)))
+            if replica.turn < at:
+                continue
+        expected = store.at[replica.turn - 1] if replica.turn else {}
+        assert held == {key: value for key, (value, _) in expected.items()}
+        assert replica.marks == {key: mark for key, (_, mark) in expected.items()}
+
+
 class Scripted:
     """Answers a listing or a watch when the test says so."""
 
