Views: a chunk that comes before its job's record is kept

A listing reads the jobs before the chunks. Where a job was accepted between the two, the listing showed only its chunk, which was dropped since the job was not known, and as its mark was known the watch did not tell it again: the node answered pending with nothing done until the chunk was next written. Counts of jobs that are not known yet now wait for the record. A chunk removed from an open job takes its counts with it.

--- a/spindleglade/submissions/records.py
+++ b/spindleglade/submissions/records.py
@@ -101,6 +101,9 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobView] = {}
+        # Done and running by chunk of jobs not known yet: a listing reads the jobs before the chunks, and one
+        # accepted in between shows its chunks first. They are not told again.
+        self.early: dict[str, dict[int, tuple[int, int]]] = {}
 
     def listener(self, key: str, value: bytes | None, mark: int) -> None:
         if key.startswith(JOBS):
@@ -109,15 +112,27 @@
             record = msgspec.json.decode(value, type=JobRecord)
             view = self.jobs.get(record.spec.id)
             if view is None:
-                self.jobs[record.spec.id] = JobView(record)
-            else:
-                view.record = record
-                if record.stage != "open":
-                    view.done, view.running = {}, {}
-        elif key.startswith(TASKS) and value is not None:
+                view = self.jobs[record.spec.id] = JobView(record)
+                for number, counts in self.early.pop(record.spec.id, {}).items():
+                    view.done[number], view.running[number] = counts
+            view.record = record
+            if record.stage != "open":
+                view.done, view.running = {}, {}
+        elif key.startswith(TASKS):
             job, number = split_chunk_key(key)
             view = self.jobs.get(job)
-            if view is not None and view.record.stage == "open":
+            if view is not None and view.record.stage != "open":
+                return
+            if value is not None:
                 chunk = msgspec.json.decode(value, type=Chunk)
-                view.done[number] = chunk.count_done()
-                view.running[number] = len(chunk.placed)
+                if view is None:
+                    self.early.setdefault(job, {})[number] = chunk.count_done(), len(chunk.placed)
+                else:
+                    view.done[number], view.running[number] = chunk.count_done(), len(chunk.placed)
+            elif view is not None:
+                view.done.pop(number, None)
+                view.running.pop(number, None)
+            elif job in self.early:
+                self.early[job].pop(number, None)
+                if not self.early[job]:
+                    del self.early[job]
--- a/spindleglade/submissions/test_submissions.py
+++ b/spindleglade/submissions/test_submissions.py
@@ -157,3 +157,27 @@
     views.listener(job_key(job.id), raw(JobRecord("done", job, 8)), 3)
     views.listener(chunk_key(job.id, 0), None, 4)
     assert views.jobs[job.id].stage == "done" and views.jobs[job.id].done_count == 16
+
+
+CHUNK_CHANGES = [
+    ("job", JobRecord("open", decode_submission(encode()), 8)),
+    ("task", Chunk([(0, 1)], {2: Placement(1, "n-1", 1)})),
+    ("task", Chunk([(0, 2)], {3: Placement(1, "n-1", 1), 4: Placement(1, "n-1", 1)})),
+]
+
+
+@pytest.mark.parametrize("order", [(0, 1, 2), (1, 0, 2), (1, 2, 0)])
+def test_a_view_is_the_same_in_whichever_order_its_records_come(order):
+    """A listing reads the jobs before the chunks, so it may hold the chunk of a job that was accepted between
+    the two. The chunk was dropped, and as its mark was known it was never told again."""
+    views = JobViews()
+    for at in order:
+        kind, record = CHUNK_CHANGES[at]
+        key = job_key("job-000412") if kind == "job" else chunk_key("job-000412", 0)
+        views.listener(key, raw(record), at + 1)
+    view = views.jobs["job-000412"]
+    assert (view.stage, view.done_count, sum(view.running.values())) == ("running", 3, 2)
+    # Chunks that are removed before their job is known leave nothing behind.
+    views.listener(chunk_key("job-2", 0), raw(Chunk([(0, 1)])), 5)
+    views.listener(chunk_key("job-2", 0), None, 6)
+    assert not views.early
