Answers: a repeat of a known job is never refused, and a slow 201 says nothing older

A repeat that lacked a field or fitted nothing was answered 400 or 422 although its job was accepted, and so was a good one at a node whose replica was behind and that judged it anew. Such a body's id is now looked up, confirmed, before it is refused; a body whose id cannot be read is still 400 at once, and nothing confirmed is 503. The 201 of an acceptance whose answer was slow said pending although the same node had called the job cancelled meanwhile: it now says what the node knows by then. JSON nested too deeply broke the request (503, retried) instead of being malformed, for submissions and reports.

--- a/spindleglade/submissions/api.py
+++ b/spindleglade/submissions/api.py
@@ -22,6 +22,7 @@
     StateAnswer,
     check_possible,
     decode_submission,
+    named_job,
 )
 from spindleglade.submissions.records import JobRecord, JobView, JobViews, chunk_size, job_key
 from spindleglade.web import BODY_LIMIT, Answer, encode_json
@@ -95,7 +96,7 @@
             job = decode_submission(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             log.info("submission malformed reason=%s", error)
-            return _error(400, str(error))
+            return await self._refuse(named_job(body), _error(400, str(error)))
         if job.id in self._views.jobs:
             return await self._known(job.id)
         shapes = self._shapes()
@@ -105,7 +106,7 @@
             check_possible(job, self._teams, shapes)
         except Impossible as error:
             log.info("submission refused job=%s reason=%s", job.id, error)
-            return _error(422, str(error))
+            return await self._refuse(job.id, _error(422, str(error)))
         record = JobRecord("open", job, self._chunk, self._utc())
         key = job_key(job.id)
         try:
@@ -116,15 +117,23 @@
         if not isinstance(result, Committed):
             return await self._known(job.id)
         log.info("accepted job=%s team=%s class=%s tasks=%d", job.id, job.team, job.job_class, job.tasks)
-        return Answer(201, encode_json(JobAnswer(job.id, "pending")))
-
-    async def _known(self, job: str) -> Answer:
+        # The store's answer may be slow. By now this node may have told another request that the job is over.
+        view = self._views.jobs.get(job.id)
+        return Answer(201, encode_json(JobAnswer(job.id, "pending" if view is None else view.stage)))
+
+    async def _refuse(self, job: str | None, answer: Answer) -> Answer:
+        """The answer for what cannot be accepted, unless the job is known: a repeat of an accepted job is
+        never refused, however odd its body, and another node may have accepted it a moment ago."""
+        return answer if job is None else await self._known(job, answer)
+
+    async def _known(self, job: str, unknown: Answer = LATER) -> Answer:
+        """The answer to a submission of a known job, `unknown` if it is not known. Where the store holds the
+        job, that would be a replica not yet there."""
         answer = await self._state(job)
         if answer.status == 200:
             state = msgspec.json.decode(answer.body, type=StateAnswer)
             return Answer(200, encode_json(JobAnswer(job, state.stage)))
-        # The store holds the job, so a 404 here would be a replica not yet there.
-        return LATER
+        return unknown if answer.status == 404 else LATER
 
     async def _current(self, job: str) -> JobView | None:
         """What is known of the job, confirmed now unless it is final. Raises Unconfirmed."""
--- a/spindleglade/submissions/messages.py
+++ b/spindleglade/submissions/messages.py
@@ -52,6 +52,10 @@
         return self.kind != "array"
 
 
+class _Named(msgspec.Struct):
+    id: JobId = msgspec.field(name="ref")
+
+
 class JobAnswer(msgspec.Struct):
     id: str = msgspec.field(name="ref")
     stage: str
@@ -80,7 +84,19 @@
 
 def decode_submission(body: bytes) -> Submission:
     """Raises msgspec.DecodeError (of which its ValidationError is one) on anything malformed."""
-    return msgspec.json.decode(body, type=Submission)
+    try:
+        return msgspec.json.decode(body, type=Submission)
+    except RecursionError:
+        raise msgspec.DecodeError("nested too deeply") from None
+
+
+def named_job(body: bytes) -> str | None:
+    """The job that a malformed submission is about, if it says so."""
+    try:
+        return msgspec.json.decode(body, type=_Named).id
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        # What cannot be read at all is a repeat of nothing.
+        return None
 
 
 def check_possible(job: Submission, teams: dict[str, Team], shapes: list[MachineShape]) -> None:
--- a/spindleglade/submissions/test_submissions.py
+++ b/spindleglade/submissions/test_submissions.py
@@ -6,11 +6,20 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from twisted.internet.defer import Deferred
 
 from spindleglade.settings import Team
 from spindleglade.settings.platform import StateLimits
-from spindleglade.store.client import raw
-from spindleglade.submissions.messages import Impossible, MachineShape, check_possible, decode_submission
+from spindleglade.store.client import Committed, Put, Refused, Unavailable, raw
+from spindleglade.store.replica import Unconfirmed
+from spindleglade.submissions.api import UserApi
+from spindleglade.submissions.messages import (
+    Impossible,
+    MachineShape,
+    check_possible,
+    decode_submission,
+    named_job,
+)
 from spindleglade.submissions.records import (
     Chunk,
     JobRecord,
@@ -22,6 +31,7 @@
     runs,
     split_chunk_key,
 )
+from spindleglade.tasks import spawn
 
 GOOD = {
     "ref": "job-000412",
@@ -99,6 +109,15 @@
         decode_submission(body)
 
 
+@pytest.mark.parametrize("start", [b"{", encode()[:-1] + b","], ids=["alone", "after all fields"])
+def test_what_is_nested_too_deeply_is_malformed(start):
+    """It was answered 503, which users retry."""
+    body = start + b'"x":' + b"[" * 30_000
+    with pytest.raises(msgspec.DecodeError):
+        decode_submission(body)
+    assert named_job(body) is None
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -181,3 +200,96 @@
     views.listener(chunk_key("job-2", 0), raw(Chunk([(0, 1)])), 5)
     views.listener(chunk_key("job-2", 0), None, 6)
     assert not views.early
+
+
+class Service:
+    """State service and replica of one node. The replica takes in what the store holds only when it is proven
+    current; `reachable` is false while the store answers nothing."""
+
+    def __init__(self):
+        self.limits = StateLimits(100.0, 40.0, 16.0, 12)
+        self.keys, self.marks, self.turn, self.reachable = {}, {}, 0, True
+        self.views = JobViews()
+        self.answer = None
+        self.api = UserApi(self, self, self.views, TEAMS, lambda: SHAPES, self.forward, lambda: None)
+
+    async def forward(self, method, path, body):
+        return None
+
+    def write(self, writes):
+        self.turn += 1
+        for write in writes:
+            self.keys[write.key] = (bytes(write.value), self.turn)
+
+    async def txn(self, when, writes, urgent=False):
+        if not self.reachable:
+            raise Unavailable("503")
+        failed = {at.key for at in when if self.keys.get(at.key, (b"", 0))[1] != at.mark}
+        if failed:
+            return Refused(frozenset(failed), self.turn)
+        self.write(writes)
+        turn = self.turn
+        if self.answer is not None:
+            await self.answer
+        return Committed(turn)
+
+    async def confirm(self):
+        if not self.reachable:
+            raise Unconfirmed("503")
+        for key, (value, mark) in self.keys.items():
+            if self.marks.get(key) != mark:
+                self.marks[key] = mark
+                self.views.listener(key, value, mark)
+
+    def ask(self, method, path, body=b""):
+        """The answer; None as long as there is none."""
+        answers = []
+        spawn(self.api.handle(method, path, body), "request").addCallback(answers.append)
+        return answers
+
+    def status(self, *request):
+        return self.ask(*request)[0].status
+
+
+ODD = {
+    "unknown team": encode(crew="nobody"),
+    "too large": encode(vcpus=9999.0),
+    "no tasks": encode(threads=0),
+    "no fields": b'{"ref":"job-000412"}',
+    "wrong type": encode(frames=3),
+}
+
+
+@pytest.mark.parametrize("body", ODD.values(), ids=list(ODD))
+def test_a_repeat_of_a_known_job_is_never_refused_however_odd(body):
+    """Where the replica was behind, or the repeat lacked a field, it was answered 400 or 422."""
+    service = Service()
+    assert service.status("POST", "/submissions", body) in (400, 422)
+    # Accepted elsewhere: this replica does not know it yet.
+    service.write([Put(job_key("job-000412"), raw(JobRecord("open", decode_submission(encode()), 8)))])
+    service.reachable = False
+    assert service.status("POST", "/submissions", body) == 503
+    service.reachable = True
+    assert service.status("POST", "/submissions", body) == 200
+    # Known now, but it may have ended meanwhile: not to be answered from memory.
+    service.reachable = False
+    assert service.status("POST", "/submissions", body) == 503
+    # Nor by a node that does not know the types: it cannot decide, or knows the job.
+    service.reachable, service.api._shapes = True, lambda: None
+    assert service.status("POST", "/submissions", body) == 200
+    # What names no job is a repeat of nothing.
+    assert service.status("POST", "/submissions", b'{"ref":"job-000412"') == 400
+    assert service.status("POST", "/submissions", b"[]") == 400
+
+
+def test_an_acceptance_whose_answer_was_slow_says_nothing_older():
+    service = Service()
+    service.answer = Deferred()
+    first = service.ask("POST", "/submissions", encode())
+    assert not first
+    assert service.status("POST", "/submissions", encode()) == 200
+    service.answer, slow = None, service.answer
+    assert b"aborted" in service.ask("POST", "/submissions/job-000412/abort")[0].body
+    assert b"aborted" in service.ask("GET", "/submissions/job-000412")[0].body
+    slow.callback(None)
+    assert first[0].status == 201 and b"aborted" in first[0].body
--- a/spindleglade/workers/messages.py
+++ b/spindleglade/workers/messages.py
@@ -52,7 +52,11 @@
 
 
 def decode_report(body: bytes) -> Report:
-    return _reports.decode(body)
+    """Raises msgspec.DecodeError on anything malformed."""
+    try:
+        return _reports.decode(body)
+    except RecursionError:
+        raise msgspec.DecodeError("nested too deeply") from None
 
 
 def task_name(job: str, index: int) -> str:
--- a/spindleglade/workers/test_reports.py
+++ b/spindleglade/workers/test_reports.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -62,6 +63,11 @@
     assert node.report(1, session=2) == 200
 
 
+def test_a_report_nested_too_deeply_is_malformed():
+    with pytest.raises(msgspec.DecodeError):
+        decode_report(b'{"x":' + b"[" * 30_000)
+
+
 def test_a_node_that_is_cut_off_alone_sends_workers_on_once():
     node = Node(since=timedelta(0))
     node.clock.advance(seconds(1))
