Election: a term that ended before its answer came is not taken up

Where the store's answer to the winning transaction was slow, the replica could show the next leader, or the key's end, first. Only a change after taking office ended a term, so the node took office knowing its successor, with the replica freshly proven: it could have rented and given back machines until a sibling's ping or a worker's report came. Writes were safe by the key's mark. The answer is now compared with the latest change known of the key.

--- a/spindleglade/leadership/election.py
+++ b/spindleglade/leadership/election.py
@@ -78,6 +78,8 @@
         self._rng = rng or random.Random()
         self.term: Term | None = None
         self.leader: LeaderRecord | None = None
+        # Mark of the latest change of the leader key that is known.
+        self._changed = 0
         self._token = 0
         self._suspected: int | None = None
         self._campaigning = False
@@ -90,6 +92,7 @@
 
     def listener(self, key: str, value: bytes | None, mark: int) -> None:
         if key == LEADER:
+            self._changed = max(self._changed, mark)
             self.leader = None if value is None else msgspec.json.decode(value, type=LeaderRecord)
             if self.term is not None and mark > self.term.mark:
                 self.step_down("the leader key changed")
@@ -185,12 +188,16 @@
                 ],
                 urgent=True,
             )
-            if isinstance(result, Committed):
+            if not isinstance(result, Committed):
+                await self._client.drop(lease)
+            elif self._changed > result.turn or self.highest > token:
+                # The answer was slow, and what ended our term is known already: nothing would tell it again.
+                log.info("not elected reason=the term was over before its answer came token=%d", token)
+                await self._client.drop(lease)
+            else:
                 self.term = Term(token, result.turn, lease)
                 log.info("leader token=%d", token)
                 self._won(self.term)
-            else:
-                await self._client.drop(lease)
         except (Unavailable, Unknown, Unconfirmed, LeaseGone) as error:
             log.info("not elected reason=%s", error)
         finally:
--- a/spindleglade/leadership/test_leadership.py
+++ b/spindleglade/leadership/test_leadership.py
@@ -11,7 +11,7 @@
 from spindleglade.leadership.election import LEADER, Election, LeaderRecord
 from spindleglade.leadership.links import Forward, Forwarded, Link, Ping, Relay, Relayed, decode_message
 from spindleglade.settings.platform import Sibling
-from spindleglade.store.client import Condition, Refused
+from spindleglade.store.client import Committed, Condition, Refused, Unavailable
 from tests.world import World
 
 numbers = st.integers(0, (1 << 63) - 1)
@@ -143,6 +143,42 @@
     assert Condition(LEADER, 0) in asked
 
 
+@pytest.mark.parametrize("later", [LeaderRecord("other", 2), None])
+def test_a_victory_that_is_over_before_it_is_told_is_none(later):
+    """The answer to the winning transaction was slow, and the replica showed first what came after: the node
+    took office although it knew its successor, and only a further change would have ended that."""
+
+    class Replica:
+        loaded, marks = True, {}
+
+        def listen(self, listener):
+            self.listener = listener
+
+        async def confirm(self):
+            pass
+
+    class Store:
+        async def grant(self, ttl):
+            return 5
+
+        async def txn(self, when, writes, urgent=False):
+            replica.listener(LEADER, msgspec.json.encode(LeaderRecord("me", 1)), 9)
+            replica.listener(LEADER, None if later is None else msgspec.json.encode(later), 10)
+            return Committed(9)
+
+        async def drop(self, lease):
+            pass
+
+        async def touch(self, lease):
+            raise Unavailable("503")
+
+    won, replica, clock = [], Replica(), ManualClock()
+    election = Election("me", Store(), replica, clock, seconds(4), won.append, None, lambda: not won)
+    election.start()
+    clock.advance(seconds(0.06))
+    assert not won and election.term is None
+
+
 def test_a_leader_whose_process_ended_is_replaced_before_its_lease_ends():
     world = World(5)
     world.run(seconds(3))
