Leader: histories conditional on what they replace; an unreadable record stops nobody

Histories were conditional on the leader key alone, which is the same for a whole term: one whose answer was lost could be carried out after a newer one and undo it. Each is now conditional on its own mark, a refused one is settled by reading, and an answer that comes after the term says nothing to the next. A single record that could not be read broke every take-over, so no node could lead; its job is now left alone, neither placed nor tidied up, and its user told 503, not 404.

--- a/spindleglade/reign.py
+++ b/spindleglade/reign.py
@@ -15,10 +15,29 @@
 from spindleglade.fleet.client import CloudClient
 from spindleglade.fleet.manager import FleetManager
 from spindleglade.fleet.types import TypeBook
-from spindleglade.leadership.election import Term
+from spindleglade.leadership.election import LEADER, Term
 from spindleglade.settings import OperatorSettings, Platform
-from spindleglade.store.client import Put, StateClient, TooOld, Unavailable, Unknown, raw
-from spindleglade.submissions.records import HISTORY, JOBS, PREFIX, TASKS, Chunk, JobRecord, split_chunk_key
+from spindleglade.store.client import (
+    Committed,
+    Condition,
+    Entry,
+    Put,
+    StateClient,
+    TooOld,
+    Unavailable,
+    Unknown,
+    raw,
+)
+from spindleglade.submissions.records import (
+    HISTORY,
+    JOBS,
+    PREFIX,
+    TASKS,
+    Chunk,
+    JobRecord,
+    chunk_key,
+    split_chunk_key,
+)
 from spindleglade.tasks import spawn
 from spindleglade.web import Turns
 from spindleglade.workers.attempts import Deposed, Rules
@@ -61,6 +80,10 @@
         self.active = False
         # Changes that came while everything was being read.
         self._early: list[tuple[JobRecord, int]] | None = []
+        # Jobs with a record that cannot be read.
+        self._unreadable: set[str] = set()
+        # Marks of the teams' histories in the store.
+        self._history_marks: dict[str, int] = {}
         bins = Bins(seconds(settings.backfill.first_bin_s), settings.backfill.bin_factor)
         self.predictor = Predictor(
             bins,
@@ -106,19 +129,7 @@
             self.term.token, rules, self._platform.teams, self._types.kinds(), self.predictor, now
         )
         self.ledger = ledger
-        marks: dict[str, int] = {}
-        chunks = []
-        for entry in listing.entries:
-            if entry.key.startswith(JOBS):
-                self._take(ledger, msgspec.json.decode(entry.value, type=JobRecord), entry.mark)
-            elif entry.key.startswith(TASKS):
-                marks[entry.key] = entry.mark
-                chunks.append((split_chunk_key(entry.key), msgspec.json.decode(entry.value, type=Chunk)))
-            elif entry.key.startswith(HISTORY):
-                team = entry.key[len(HISTORY) :]
-                self.predictor.load(team, msgspec.json.decode(entry.value, type=History))
-        for (job, number), chunk in chunks:
-            ledger.load_chunk(job, number, chunk, now)
+        marks = self._read(ledger, listing.entries, now)
         assert self._early is not None
         for record, mark in self._early:
             self._take(ledger, record, mark)
@@ -168,6 +179,38 @@
         self._fleet.start()
         spawn(self._keep(), "leader's upkeep", self._deposed)
 
+    def _read(self, ledger: Ledger, entries: list[Entry], now: timedelta) -> dict[str, int]:
+        """Takes in what the store holds; returns the marks of the chunks. A record that cannot be read must
+        not keep every node from leading: its job is left alone, neither placed, since its tasks may be on
+        machines, nor tidied up."""
+        marks: dict[str, int] = {}
+        records: list[tuple[JobRecord, int]] = []
+        chunks: list[tuple[str, int, Chunk]] = []
+        for entry in entries:
+            try:
+                if entry.key.startswith(JOBS):
+                    records.append((msgspec.json.decode(entry.value, type=JobRecord), entry.mark))
+                elif entry.key.startswith(TASKS):
+                    job, number = split_chunk_key(entry.key)
+                    chunks.append((job, number, msgspec.json.decode(entry.value, type=Chunk)))
+                    marks[entry.key] = entry.mark
+                elif entry.key.startswith(HISTORY):
+                    self._history_marks[entry.key] = entry.mark
+                    team = entry.key[len(HISTORY) :]
+                    self.predictor.load(team, msgspec.json.decode(entry.value, type=History))
+            except (msgspec.DecodeError, ValueError) as error:
+                log.error("record not understood key=%s reason=%s", entry.key, error)
+                if not entry.key.startswith(HISTORY):
+                    self._unreadable.add(entry.key.split("/")[2])
+        for record, mark in records:
+            self._take(ledger, record, mark)
+        for job, number, chunk in chunks:
+            if job in self._unreadable:
+                marks.pop(chunk_key(job, number), None)
+            else:
+                ledger.load_chunk(job, number, chunk, now)
+        return marks
+
     def job_changed(self, record: JobRecord, mark: int) -> None:
         if self._early is not None:
             self._early.append((record, mark))
@@ -176,6 +219,8 @@
         self._changed()
 
     def _take(self, ledger: Ledger, record: JobRecord, mark: int) -> None:
+        if record.spec.id in self._unreadable:
+            return
         # The time of day differs a little from node to node; it may not make a job come from the future.
         age = timedelta(0)
         if record.accepted is not None:
@@ -238,9 +283,24 @@
             writes = [Put(HISTORY + team, raw(self.predictor.export(team))) for team in sorted(teams)]
         most = self._client.limits.txn_ops
         for at in range(0, len(writes), most):
+            part = writes[at : at + most]
+            # A transaction without an answer may be carried out after newer ones of this same term.
+            when = [Condition(put.key, self._history_marks.get(put.key, 0)) for put in part]
             try:
-                await self._client.txn([self.term.condition], writes[at : at + most])
+                result = await self._client.txn([self.term.condition, *when], part)
+                if not self.active:
+                    return
+                if isinstance(result, Committed):
+                    self._history_marks.update((put.key, result.turn) for put in part)
+                    continue
+                if LEADER in result.failed:
+                    self._deposed("a history was refused")
+                    return
+                for key in result.failed:
+                    entry = await self._client.get(key)
+                    self._history_marks[key] = 0 if entry is None else entry.mark
             except (Unavailable, Unknown) as error:
                 log.info("histories not recorded reason=%s", error)
+            with self.ledger.lock:
                 self.ledger.learned |= teams
-                return
+            return
--- a/spindleglade/submissions/api.py
+++ b/spindleglade/submissions/api.py
@@ -141,6 +141,9 @@
         if view is None or view.record.stage == "open":
             await self._replica.confirm()
             view = self._views.jobs.get(job)
+        if view is None and job_key(job) in self._replica.marks:
+            # Accepted, though its record cannot be read here: not to be called unknown.
+            raise Unconfirmed("record not understood")
         return view
 
     async def _state(self, job: str) -> Answer:
--- a/spindleglade/submissions/test_submissions.py
+++ b/spindleglade/submissions/test_submissions.py
@@ -293,3 +293,11 @@
     assert b"aborted" in service.ask("GET", "/submissions/job-000412")[0].body
     slow.callback(None)
     assert first[0].status == 201 and b"aborted" in first[0].body
+
+
+def test_a_job_whose_record_cannot_be_read_is_not_called_unknown():
+    service = Service()
+    service.marks[job_key("job-000412")] = 3
+    assert service.status("GET", "/submissions/job-000412") == 503
+    assert service.status("POST", "/submissions/job-000412/abort") == 503
+    assert service.status("GET", "/submissions/job-1") == 404
--- /dev/null
+++ b/spindleglade/test_reign.py
@@ -0,0 +1,145 @@
+"""What a leader reads when it takes over, and the histories it keeps on record."""
+
+from datetime import timedelta
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from spindleglade.clock import ManualClock, seconds
+from spindleglade.leadership.election import LEADER, Term
+from spindleglade.reign import Reign
+from spindleglade.settings import OperatorSettings
+from spindleglade.settings.platform import StateLimits
+from spindleglade.store.client import Committed, Entry, Refused, Unknown, raw
+from spindleglade.submissions.records import HISTORY, Chunk, JobRecord, Placement, chunk_key, job_key
+from spindleglade.tasks import spawn
+from spindleglade.workers.test_ledger import TOKEN, make_ledger, spec
+from tests.world import Deployment, platform
+
+
+class Store:
+    """Keeps values and marks. Of the transactions whose number is in `late` the answer is lost, and they are
+    carried out when the test says so."""
+
+    def __init__(self, late=()):
+        self.limits = StateLimits(100.0, 40.0, 16.0, 12)
+        self.turn, self.keys, self.asked, self.late = 10, {LEADER: (b"{}", 5)}, 0, set(late)
+        self.held, self.slow = [], None
+
+    def _apply(self, when, writes):
+        failed = {at.key for at in when if self.keys.get(at.key, (b"", 0))[1] != at.mark}
+        if failed:
+            return Refused(frozenset(failed), self.turn)
+        self.turn += 1
+        for write in writes:
+            self.keys[write.key] = (bytes(write.value), self.turn)
+        return Committed(self.turn)
+
+    async def txn(self, when, writes, urgent=False):
+        self.asked += 1
+        if self.asked in self.late:
+            self.held.append((when, writes))
+            raise Unknown("timed out")
+        result = self._apply(when, writes)
+        if self.slow is not None:
+            await self.slow
+        return result
+
+    def land(self):
+        for when, writes in self.held:
+            self._apply(when, writes)
+
+    async def get(self, key):
+        return Entry(key, msgspec.Raw(self.keys[key][0]), self.keys[key][1]) if key in self.keys else None
+
+
+def make(store):
+    deposed = []
+    reign = Reign(
+        Term(TOKEN, 5, 1),
+        platform(0, Deployment()),
+        OperatorSettings(),
+        ManualClock(),
+        None,
+        None,
+        store,
+        None,
+        None,
+        None,
+        deposed.append,
+    )
+    reign.ledger, reign.active = make_ledger(), True
+    return reign, deposed
+
+
+def learn(reign, runs):
+    for _ in range(runs):
+        reign.predictor.add("t", seconds(9))
+    reign.ledger.learned = {"t"}
+    spawn(reign._record_history(), "history")
+
+
+def runs_on_record(store):
+    return sum(msgspec.json.decode(store.keys[HISTORY + "t"][0])["counts"])
+
+
+def test_a_late_history_does_not_undo_a_newer_one():
+    """They were conditional on the leader key alone, which is the same for all of a term."""
+    store = Store(late=[1])
+    reign, deposed = make(store)
+    learn(reign, 1)
+    assert reign.ledger.learned == {"t"}
+    learn(reign, 1)
+    assert runs_on_record(store) == 2 and not reign.ledger.learned
+    store.land()
+    assert runs_on_record(store) == 2 and not deposed
+
+
+def test_a_late_history_that_came_first_is_written_over():
+    store = Store(late=[1])
+    reign, deposed = make(store)
+    learn(reign, 1)
+    store.land()
+    learn(reign, 1)
+    # Refused: what is there was read, and it is written the next time.
+    assert runs_on_record(store) == 1 and reign.ledger.learned == {"t"}
+    learn(reign, 1)
+    assert runs_on_record(store) == 3 and not deposed
+
+
+def test_a_refused_history_deposes_its_own_term_only():
+    store = Store()
+    store.keys[LEADER] = (b"{}", 6)
+    reign, deposed = make(store)
+    learn(reign, 1)
+    assert len(deposed) == 1 and HISTORY + "t" not in store.keys
+    # An answer that comes after the term is over says nothing to the next, which may be this node's.
+    store.slow = Deferred()
+    learn(reign, 1)
+    reign.active = False
+    store.slow.callback(None)
+    assert len(deposed) == 1
+
+
+def test_a_record_that_cannot_be_read_stops_no_leader_and_its_job_is_left_alone():
+    """One such record, and no node could lead: each broke in taking over."""
+    reign, _ = make(Store())
+    opened = {id: raw(JobRecord("open", spec(id), 256)) for id in ("job-1", "job-2", "job-3")}
+    chunk = raw(Chunk(placed={0: Placement(1, "n-1", 1)}))
+    entries = [
+        Entry(HISTORY + "t", raw([]), 2),
+        Entry(job_key("job-1"), opened["job-1"], 3),
+        Entry(job_key("job-2"), raw({"stage": "resting"}), 4),
+        Entry(job_key("job-3"), opened["job-3"], 5),
+        Entry(chunk_key("job-1", 0), chunk, 6),
+        Entry(chunk_key("job-2", 0), chunk, 7),
+        Entry(chunk_key("job-3", 0), chunk, 8),
+        Entry(chunk_key("job-3", 1), raw({"placed": 3}), 9),
+        Entry("sg/task/job-4/x", chunk, 10),
+    ]
+    marks = reign._read(reign.ledger, entries, timedelta(0))
+    assert set(reign.ledger.jobs) == {"job-1"} and marks == {chunk_key("job-1", 0): 6}
+    assert [job for job, _ in reign.ledger.dirty] == []
+    # Nor when the replica tells of it later.
+    reign._take(reign.ledger, JobRecord("open", spec("job-3"), 256), 5)
+    assert set(reign.ledger.jobs) == {"job-1"}
