Recorder: a job whose record was refused is read; no start of a finished job holds room

A batch refused by a job's record was tried again every 50 ms until the replica told of the abort: while the leader's watch was held up, no start of any job in the batch was recorded. The record is now read at once and its tasks stopped. An old record of a job that is over, told late, opened it again; what was placed until the newer one came was never recorded, sent or taken off, and held its machine's room and its team's limit for the rest of the term: such starts now end with the job. An abort told after its job was forgotten kept it in memory.

--- a/spindleglade/workers/book.py
+++ b/spindleglade/workers/book.py
@@ -109,7 +109,16 @@
         if not job.open and not job.placed:
             self.dirty[(job.id, 0)] = None
 
+    def _drop_unsent(self, job: Job, reason: str) -> None:
+        """Starts that wait for their record were never sent, and now never will be."""
+        for assignment in list(job.placed.values()):
+            if not assignment.seen and not assignment.recorded:
+                self._over(assignment, reason)
+
     def _finish(self, job: Job) -> None:
+        # A record older than the one that says so, told late by the replica, may have opened it again; what
+        # was placed then would hold its room for good.
+        self._drop_unsent(job, "its job is done")
         job.finished = True
         self._all_recorded(job)
         self.dirty[(job.id, 0)] = None
--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import msgspec
 from twisted.internet.defer import Deferred
 
 from spindleglade.clock import Clock, sleep
@@ -17,6 +18,7 @@
     Committed,
     Condition,
     Delete,
+    Entry,
     Put,
     Refused,
     StateClient,
@@ -24,7 +26,7 @@
     Unknown,
     raw,
 )
-from spindleglade.submissions.records import JOBS, chunk_key, job_key
+from spindleglade.submissions.records import JOBS, JobRecord, chunk_key, job_key
 from spindleglade.tasks import spawn
 from spindleglade.workers.attempts import Batch
 from spindleglade.workers.ledger import Ledger
@@ -159,17 +161,28 @@
 
     async def _reread(self, result: Refused) -> None:
         """The marks we hold are not the store's: a write of ours was applied though its answer was lost, or
-        a user has aborted a job, which the replica will tell."""
+        a user has aborted a job."""
         for key in result.failed:
-            if key.startswith(JOBS):
-                await sleep(self._clock, timedelta(seconds=0.05))
-                continue
             try:
                 entry = await self._client.get(key)
+                if key.startswith(JOBS):
+                    await self._take_job(key, entry)
+                elif entry is None:
+                    self._marks.pop(key, None)
+                else:
+                    self._marks[key] = entry.mark
             except (Unavailable, Unknown) as error:
                 log.info("mark not read key=%s reason=%s", key, error)
-                continue
-            if entry is None:
-                self._marks.pop(key, None)
-            else:
-                self._marks[key] = entry.mark
+
+    async def _take_job(self, key: str, entry: Entry | None) -> None:
+        """What a user has made of a job. The replica tells it too, but its watch may be held up for seconds,
+        and until then all that is in one batch with a start of the job would be refused again and again."""
+        try:
+            record = msgspec.json.decode(entry.value if entry is not None else b"null", type=JobRecord)
+        except msgspec.DecodeError as error:
+            log.error("job record not understood key=%s reason=%s", key, error)
+            await sleep(self._clock, timedelta(seconds=0.05))
+            return
+        self._ledger.take_job(record, entry.mark)
+        # There may be tasks to stop.
+        self._committed()
--- a/spindleglade/workers/recording.py
+++ b/spindleglade/workers/recording.py
@@ -21,6 +21,8 @@
                     job = self.jobs[record.spec.id] = Job(record, mark)
                     job.hungry = now - age
                     self.changes += 1
+                    # One that was over and forgotten before the replica told of it is forgotten again.
+                    self._retire(job)
                 return
             if mark <= job.mark:
                 return
@@ -31,12 +33,9 @@
                 self._finish(job)
             elif record.stage == "aborted" and not job.aborted:
                 job.aborted = True
-                # A copy: what was never started is over at once and leaves the dictionary.
-                for assignment in list(job.placed.values()):
+                for assignment in job.placed.values():
                     self._stop(assignment, "aborted", 0.0)
-                    if not assignment.seen and not assignment.recorded:
-                        # Its start was never sent, and now never will be.
-                        self._over(assignment, "aborted before its start")
+                self._drop_unsent(job, "aborted before its start")
                 self._retire(job)
 
     def load_chunk(self, job_id: str, number: int, chunk: Chunk, now: timedelta) -> None:
--- a/spindleglade/workers/test_recorder.py
+++ b/spindleglade/workers/test_recorder.py
@@ -7,7 +7,7 @@
 from spindleglade.clock import ManualClock, seconds
 from spindleglade.leadership.election import LEADER, Term
 from spindleglade.settings.platform import StateLimits
-from spindleglade.store.client import Committed, Entry, Put, Refused, Unavailable, Unknown
+from spindleglade.store.client import Committed, Entry, Put, Refused, Unavailable, Unknown, raw
 from spindleglade.submissions.records import JobRecord, chunk_key, job_key
 from spindleglade.workers.messages import Report
 from spindleglade.workers.recorder import Recorder
@@ -20,6 +20,7 @@
     def __init__(self, fates=()):
         self.limits = StateLimits(100.0, 40.0, 16.0, 12)
         self.turn, self.marks = 10, {LEADER: 5, job_key("job-1"): 1}
+        self.values = {}
         self.fates, self.sizes, self.spare_writes = list(fates), [], 12
 
     async def txn(self, when, writes, urgent=False):
@@ -42,7 +43,8 @@
         return Committed(self.turn)
 
     async def get(self, key):
-        return Entry(key, msgspec.Raw(b"{}"), self.marks[key]) if key in self.marks else None
+        value = self.values.get(key, msgspec.Raw(b"{}"))
+        return Entry(key, value, self.marks[key]) if key in self.marks else None
 
 
 def record(store, tasks):
@@ -91,3 +93,41 @@
     store.marks[LEADER] = 6
     ledger, deposed = record(store, 3)
     assert recorded(ledger) == 0 and deposed and chunk_key("job-1", 0) not in store.marks
+
+
+def test_a_refused_job_record_is_read_not_waited_for():
+    """Every batch with a start of the job was refused until the replica told of the abort: with a watch held
+    up for seconds, no start of any job was recorded."""
+    store = Store()
+    store.marks[job_key("job-1")] = 9
+    store.values[job_key("job-1")] = raw(JobRecord("aborted", spec(tasks=3), 256))
+    ledger, deposed = record(store, 3)
+    assert "job-1" not in ledger.jobs and not deposed and len(store.sizes) == 1
+
+
+def finished_elsewhere():
+    """A ledger with a start that waits for its record while the record says that the job is done."""
+    ledger, clock = make_ledger(), ManualClock()
+    ledger.teams = {}
+    ledger.take_job(JobRecord("open", spec(tasks=1), 256), 1)
+    ledger.report(Report("n-0000000231", "x:1", "m", "z", True, 1, 1, TOKEN, []), clock.now(), True)
+    ledger.apply(Plan(starts=[Start("job-1", 0, "n-0000000231")]), clock.now())
+    ledger.take_job(JobRecord("done", spec(tasks=1), 256), 4)
+    return ledger
+
+
+def test_a_start_of_a_job_that_is_done_keeps_no_room():
+    """An old record of a job that is over, told late by the replica, opens it again until the newer comes.
+    What was placed meanwhile is never recorded or sent, and held its room and its team's limit for good."""
+    ledger = finished_elsewhere()
+    assert not ledger.machines["n-0000000231"].placed
+    batch = ledger.collect(9, {})
+    assert batch.size == 0 and list(batch.over) == ["job-1"]
+
+
+def test_an_abort_told_after_the_job_was_forgotten_is_forgotten_too():
+    ledger = make_ledger()
+    ledger.take_job(JobRecord("aborted", spec(tasks=1), 256), 4)
+    assert list(ledger.collect(9, {}).over) == ["job-1"]
+    ledger.forget("job-1")
+    assert not ledger.jobs
