--- a/spindleglade/submissions/records.py
+++ b/spindleglade/submissions/records.py
@@ -6,7 +6,7 @@
 
 from bisect import bisect_right, insort
 from datetime import datetime
-from typing import Literal
+from typing import Literal, NamedTuple
 
 import msgspec
 
@@ -79,27 +79,34 @@
     return found
 
 
+class ChunkView(NamedTuple):
+    """Tasks done, and the machines and their sessions that may have a task."""
+
+    done: int
+    placed: list[tuple[str, int]]
+
+
 class JobView(msgspec.Struct):
     """What a node knows of a job to answer its user."""
 
     record: JobRecord
-    # By chunk: tasks done, and the machines and their sessions that may have a task.
-    done: dict[int, int] = {}
-    placed: dict[int, list[tuple[str, int]]] = {}
+    chunks: dict[int, ChunkView] = {}
 
     @property
     def stage(self) -> str:
         if self.record.stage != "open":
             return self.record.stage
-        return "running" if any(self.placed.values()) else "pending"
+        return "running" if self.running else "pending"
 
     @property
     def running(self) -> int:
-        return sum(map(len, self.placed.values())) if self.record.stage == "open" else 0
+        return sum(len(chunk.placed) for chunk in self.chunks.values()) if self.record.stage == "open" else 0
 
     @property
     def done_count(self) -> int:
-        return self.record.spec.tasks if self.record.stage == "done" else sum(self.done.values())
+        if self.record.stage == "open":
+            return sum(chunk.done for chunk in self.chunks.values())
+        return self.record.spec.tasks if self.record.stage == "done" else 0
 
 
 # Aborts that one message between siblings tells of.
@@ -111,10 +118,13 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobView] = {}
-        # Aborted jobs whose tasks are not all on record as over yet, and where those may be.
-        self._lingering: set[str] = set()
+        # Chunks of jobs not known yet: a listing reads the jobs before the chunks, and one accepted in
+        # between shows its chunks first. They are not told again.
+        self.early: dict[str, dict[int, ChunkView]] = {}
         # Every abort known, by the mark of its record.
         self._aborts: list[tuple[int, str]] = []
+        # Aborted jobs whose tasks are not all on record as over yet, and where those may be.
+        self._lingering: set[str] = set()
         self._where: set[tuple[str, int]] | None = set()
 
     def aborts_since(self, turn: int) -> list[tuple[str, int]] | None:
@@ -132,8 +142,8 @@
             self._where = {
                 where
                 for job in self._lingering
-                for chunk in self.jobs[job].placed.values()
-                for where in chunk
+                for chunk in self.jobs[job].chunks.values()
+                for where in chunk.placed
             }
         return (machine, session) in self._where
 
@@ -142,35 +152,38 @@
             if value is None:
                 return
             record = msgspec.json.decode(value, type=JobRecord)
-            view = self.jobs.get(record.spec.id)
+            job = record.spec.id
+            view = self.jobs.get(job)
             if view is None:
-                self.jobs[record.spec.id] = JobView(record)
-            else:
-                view.record = record
-                if record.stage != "open":
-                    view.done = {}
-                if record.stage == "done":
-                    view.placed = {}
-                elif record.stage == "aborted":
-                    self._linger(record.spec.id, view)
-            if record.stage == "aborted":
-                insort(self._aborts, (mark, record.spec.id))
+                view = self.jobs[job] = JobView(record, self.early.pop(job, {}))
+            view.record = record
+            if record.stage == "done":
+                view.chunks = {}
+            elif record.stage == "aborted":
+                insort(self._aborts, (mark, job))
+                self._linger(job, view)
         elif key.startswith(TASKS):
             job, number = split_chunk_key(key)
             view = self.jobs.get(job)
-            if view is None or view.record.stage == "done":
+            if view is not None and view.record.stage == "done":
                 return
-            chunk = Chunk() if value is None else msgspec.json.decode(value, type=Chunk)
-            view.done[number] = chunk.count_done()
-            view.placed[number] = [(placed.machine, placed.session) for placed in chunk.placed.values()]
-            if view.record.stage == "aborted":
-                view.done = {}
+            chunks = self.early.setdefault(job, {}) if view is None else view.chunks
+            if value is None:
+                chunks.pop(number, None)
+            else:
+                chunk = msgspec.json.decode(value, type=Chunk)
+                placed = [(place.machine, place.session) for place in chunk.placed.values()]
+                chunks[number] = ChunkView(chunk.count_done(), placed)
+            if view is None:
+                if not chunks:
+                    del self.early[job]
+            elif view.record.stage == "aborted":
                 self._linger(job, view)
 
     def _linger(self, job: str, view: JobView) -> None:
         self._where = None
-        if any(view.placed.values()):
+        if any(chunk.placed for chunk in view.chunks.values()):
             self._lingering.add(job)
         else:
-            view.placed = {}
+            view.chunks = {}
             self._lingering.discard(job)
--- a/spindleglade/workers/test_reports.py
+++ b/spindleglade/workers/test_reports.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred, ensureDeferred
@@ -98,6 +99,11 @@
     assert node.report(6, session=2) == 503
 
 
+def test_a_report_nested_too_deeply_is_malformed():
+    with pytest.raises(msgspec.DecodeError):
+        decode_report(b'{"x":' + b"[" * 30_000)
+
+
 def test_a_node_that_is_cut_off_alone_sends_workers_on_once():
     node = Node(since=timedelta(0))
     node.clock.advance(seconds(1))
