Tests: the simulated world can bring two troubles together, and checks more rules

The world of the tests knew neither late transactions nor answers lost alone, hanging or mute machines, reports kept for the next leader, cancellations at a job's end, odd requests or close looks. It does now, and the generated test draws them all. It also checks what a job's user must not be told in whichever order nodes answer, silence about a job for 75 s, idle room for 90 s, and what goes on after a hang.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -202,6 +202,9 @@
         self.trouble = False
         # Machines on one page of the list.
         self.page = 5
+        # How long a machine takes to boot, at the least and at the most, and how many never come up.
+        self.boot_s = (0.5, 4.0)
+        self.never_up = 0.1
 
     def handle(self, method: str, path: str, body: bytes) -> Reply:
         if self.trouble:
@@ -250,8 +253,8 @@
             self.made += 1
             self.machines[machine.name] = machine
             names.append(machine.name)
-            if self.rng.random() > 0.1:
-                self.clock.later(seconds(self.rng.uniform(0.5, 4)), self._booted, machine)
+            if self.rng.random() > self.never_up:
+                self.clock.later(seconds(self.rng.uniform(*self.boot_s)), self._booted, machine)
         self.answers[ask["ask"]] = names
         return reply(200, {"spindles": names})
 
@@ -268,6 +271,9 @@
     stage: str = "pulling"
     cause: str | None = None
     timer: Any = None
+    # What the timer is for, and when: a machine that hangs puts it off.
+    due: timedelta = timedelta(0)
+    call: tuple[Callable[..., None], tuple] | None = None
     extra: dict = field(default_factory=dict)
 
     def show(self) -> dict:
@@ -311,6 +317,9 @@
         self.latest = clock.now()
         self.gone = False
         self.warning: timedelta | None = None
+        # While it hangs: until when, and what came meanwhile and waits.
+        self.hung: timedelta | None = None
+        self._held: list[Callable[[], None]] = []
         self.due = report
         self._schedule()
         self._check_lease()
@@ -324,16 +333,49 @@
             self._exit(task, "killed")
         self.tasks.clear()
 
-    def _check_lease(self) -> None:
+    def hang(self, length: timedelta) -> None:
+        """It answers nothing and executes nothing, and then goes on. Its lease passes meanwhile."""
+        if self.gone or self.hung is not None:
+            return
+        self.hung = self.clock.now() + length
+        for task in self.tasks.values():
+            if task.timer is not None and task.timer.active():
+                task.timer.cancel()
+                assert task.call is not None
+                call, args = task.call
+                self._after(task, task.due + length - self.clock.now(), call, *args)
+        self.clock.later(length, self._go_on)
+
+    def _go_on(self) -> None:
+        self.hung = None
         if self.gone:
             return
+        # What it knows by itself comes first; then what was sent to it, in order.
+        self._end_lease()
+        held, self._held = self._held, []
+        for act in held:
+            act()
+
+    def _after(self, task: Task, delay: timedelta, call: Callable[..., None], *args: Any) -> None:
+        task.due, task.call = self.clock.now() + delay, (call, args)
+        task.timer = self.clock.later(delay, call, *args)
+
+    def _end_lease(self) -> None:
         if self.clock.now() - self.answered > self.lease:
             self._drop_all()
             self.session += 1
             self.tally = 0
             self.answered = self.clock.now()
             self.changed = True
-        left = self.answered + self.lease - self.clock.now()
+
+    def _check_lease(self) -> None:
+        if self.gone:
+            return
+        if self.hung is None:
+            self._end_lease()
+            left = self.answered + self.lease - self.clock.now()
+        else:
+            left = self.hung - self.clock.now()
         self.clock.later(max(seconds(0.05), left + seconds(0.01)), self._check_lease)
 
     def show(self) -> dict:
@@ -357,7 +399,11 @@
         if self.gone:
             return
         since = self.clock.now() - self.latest
-        if not self.in_flight and (since >= self.due or (self.changed and since >= seconds(0.5))):
+        if (
+            self.hung is None
+            and not self.in_flight
+            and (since >= self.due or (self.changed and since >= seconds(0.5)))
+        ):
             self.due = self.report_every * self.rng.uniform(0.75, 1.25)
             self._report()
         # A change has to wait for half a second at the most, so nothing needs a closer look.
@@ -371,6 +417,11 @@
         def answered(answer: Reply | None) -> None:
             if self.gone:
                 return
+            if self.hung is not None:
+                self._held.append(lambda: answered(answer))
+                return
+            if self.clock.now() - sent > seconds(4):
+                answer = None
             self.in_flight = False
             if answer is None or answer[0] != 200:
                 self.at = (self.at + 1) % len(self.nodes)
@@ -386,7 +437,14 @@
 
         self._send(self.nodes[self.at], encode(self.show()), answered)
 
-    def handle(self, method: str, path: str, body: bytes) -> Reply:
+    def handle(self, method: str, path: str, body: bytes) -> Reply | Deferred:
+        if self.hung is not None:
+            waiter: Deferred[Reply] = Deferred()
+            self._held.append(lambda: waiter.callback(self._answer(path, body)))
+            return waiter
+        return self._answer(path, body)
+
+    def _answer(self, path: str, body: bytes) -> Reply:
         if path == "/show":
             return reply(200, self.show())
         message = decode(body)
@@ -431,17 +489,17 @@
         if min(self._free()) < -1e-9:
             task.stage, task.cause = "exited", "full"
             return
-        task.timer = self.clock.later(seconds(self.rng.uniform(0.0, 1.0)), self._run, task)
+        self._after(task, seconds(self.rng.uniform(0.0, 1.0)), self._run, task)
 
     def _run(self, task: Task) -> None:
         task.stage = "running"
         self.changed = True
         self.on(self.machine.name, task.name)
         if self.rng.random() < self.error:
-            task.timer = self.clock.later(seconds(0.3), self._exit, task, "error")
+            self._after(task, seconds(0.3), self._exit, task, "error")
             return
         length = 0.0 if task.name in self.done else self.run_s(task.name)
-        task.timer = self.clock.later(seconds(length), self._exit, task, "done")
+        self._after(task, seconds(length), self._exit, task, "done")
 
     def _exit(self, task: Task, cause: str) -> None:
         if task.stage == "exited":
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -6,7 +6,7 @@
 from spindleglade.clock import seconds
 from spindleglade.tasks import spawn
 from tests.standins import encode
-from tests.world import World
+from tests.world import CANCEL, World
 
 FAULTS = st.lists(
     st.tuples(
@@ -15,26 +15,42 @@
                 "outage",
                 "refuse_leader",
                 "refuse_any",
+                "gap",
+                "slow_store",
+                "late_writes",
+                "lost_answers",
                 "kill_leader",
                 "kill_any",
                 "kill_all",
+                "restart_leader",
+                "restart_all",
+                "ten_leaders",
+                "freeze_leader",
+                "freeze_any",
                 "cut_leader_workers",
                 "cut_leader_siblings",
                 "cut_leader_all",
+                "isolate_leader",
+                "isolate_any",
+                "cut_zone",
                 "cut_machine",
+                "deaf_machine",
+                "mute_machine",
+                "machine_hang",
                 "machine_dies",
                 "spot_notice",
                 "cloud_trouble",
+                "quick_boots",
                 "losses",
-                "deaf_machine",
-                "late_copies",
+                "slow_links",
+                "late_reports",
+                "kept_reports",
                 "repeats",
-                "isolate_leader",
-                "isolate_any",
-                "restart_leader",
-                "restart_all",
-                "freeze_leader",
-                "freeze_any",
+                "cancel_now",
+                "cancel_now_hang",
+                "cancel_at_end",
+                "odd_requests",
+                "close_looks",
             ]
         ),
         st.floats(2, 22),
@@ -43,7 +59,7 @@
         st.integers(0, 100),
     ),
     min_size=1,
-    max_size=5,
+    max_size=6,
 )
 
 
@@ -53,68 +69,76 @@
     index = pick % 3 if leader is None or kind.endswith("any") else leader
     name = world.node_names[index]
     machines = [worker.machine.address for worker in world.workers.values() if not worker.gone]
+    machine = machines[pick % len(machines)] if machines else None
     if kind == "outage":
-        world.state.outage(span)
+        world.outage(span)
     elif kind.startswith("refuse"):
-        world.refused.add(name)
-        world.clock.later(span, world.refused.discard, name)
+        world.refuse(index, span)
+    elif kind == "gap":
+        # Longer than a cancellation may take; some are cancelled as it begins.
+        world.gap(seconds(1 + length), CANCEL + seconds(length / 3))
+        world.cancel_now(3, seconds(0))
     elif kind == "kill_all":
         for at in range(3):
-            kill(world, at, span)
+            world.restart(at, span)
     elif kind.startswith("kill"):
-        kill(world, index, span)
+        world.restart(index, span)
+    elif kind == "restart_leader":
+        # Back at once, and once more in the middle of the election.
+        world.restart(index, seconds(0.1 + pick / 250))
+        world.clock.later(seconds(0.6 + pick / 100), world.restart, index, seconds(0.2))
+    elif kind == "restart_all":
+        for at in range(3):
+            world.restart(at, seconds(0.1 + pick / 250))
+    elif kind == "ten_leaders":
+        world.change_leaders(10, seconds(10 + 2 * length))
+    elif kind.startswith("freeze"):
+        world.freeze_node(index, span)
     elif kind == "cut_leader_workers":
         world.cut(name, machines, hold, span)
     elif kind == "cut_leader_siblings":
         world.cut(name, world.node_names, hold, span)
     elif kind == "cut_leader_all":
         world.cut_off(name, hold, span)
-    elif kind == "cut_machine" and machines:
-        world.cut(machines[pick % len(machines)], world.node_names, hold, span)
-    elif kind == "machine_dies" and machines:
-        world.kill_machine(machines[pick % len(machines)].partition(":")[0])
-    elif kind == "spot_notice" and machines:
-        worker = world.workers[machines[pick % len(machines)].partition(":")[0]]
-        worker.warning = world.clock.now() + span
-        worker.changed = True
-        world.clock.later(span, take, world, worker)
+    elif kind.startswith("isolate"):
+        world.isolate(index, hold, span)
+    elif kind == "cut_zone":
+        world.cut_zone("ab"[pick % 2], hold, span)
+    elif kind == "cut_machine" and machine:
+        world.cut(machine, world.node_names, hold, span)
+    elif kind == "deaf_machine" and machine:
+        world.make_deaf(machine, span)
+    elif kind == "mute_machine" and machine:
+        world.make_mute(machine, span)
+    elif kind == "machine_hang" and machine:
+        world.hang(machine, span)
+    elif kind == "machine_dies" and machine:
+        world.kill_machine(machine.partition(":")[0])
+    elif kind == "spot_notice" and machine:
+        world.notice(machine.partition(":")[0], span)
+    elif kind == "cancel_now":
+        world.cancel_now(4, seconds(0))
+    elif kind == "cancel_now_hang":
+        world.cancel_now(4, span)
+    elif kind == "odd_requests":
+        world.odd_requests(span)
+    elif kind == "close_looks":
+        world.during(span, "cancels_at_once", 0.3)
+        world.during(span, "close_looks", True)
+    elif kind == "cancel_at_end":
+        world.during(span, kind, 0.6)
+    elif kind in ("slow_store", "slow_links"):
+        world.during(span, kind, seconds(0.2 + pick / 50 if kind == "slow_store" else 0.3))
+    elif kind in ("late_writes", "lost_answers", "late_reports", "kept_reports", "repeats"):
+        world.during(span, kind, 0.3)
+    elif kind == "losses":
+        world.during(span, "lose", 0.1)
     elif kind == "cloud_trouble":
+        world.trouble(span)
         world.cloud.trouble = True
         world.clock.later(span, setattr, world.cloud, "trouble", False)
-    elif kind == "deaf_machine" and machines:
-        world.deaf.add(machines[pick % len(machines)])
-        world.clock.later(span, world.deaf.discard, machines[pick % len(machines)])
-    elif kind == "late_copies":
-        world.copies = 0.3
-        world.clock.later(span, setattr, world, "copies", 0.0)
-    elif kind == "repeats":
-        world.repeats = 0.3
-        world.clock.later(span, setattr, world, "repeats", 0.0)
-    elif kind.startswith("isolate"):
-        # No store and no siblings, but workers and users reach it.
-        world.cut(name, [*world.node_names, "state"], hold, span)
-    elif kind == "restart_leader":
-        # Back at once, and once more in the middle of the election.
-        kill(world, index, seconds(0.1 + pick / 250))
-        world.clock.later(seconds(0.6 + pick / 100), kill, world, index, seconds(0.2))
-    elif kind == "restart_all":
-        for at in range(3):
-            kill(world, at, seconds(0.1 + pick / 250))
-    elif kind.startswith("freeze"):
-        world.freeze_node(index, span)
-    elif kind == "losses":
-        world.lose = 0.1
-        world.clock.later(span, setattr, world, "lose", 0.0)
-
-
-def kill(world, index, span):
-    world.kill_node(index)
-    world.clock.later(span, lambda: world.node_names[index] in world.nodes or world.start_node(index))
-
-
-def take(world, worker):
-    world.cloud.machines.pop(worker.machine.name, None)
-    worker.end()
+    elif kind == "quick_boots":
+        world.cloud.boot_s = (0.2, 1.5)
 
 
 JOBS = st.lists(
@@ -139,7 +163,7 @@
 )
 
 
-@settings(max_examples=25)
+@settings(max_examples=60)
 @given(st.integers(0, 1 << 30), JOBS, FAULTS, st.sampled_from([0.0, 0.05]))
 def test_no_rule_is_broken_whatever_fails(seed, jobs, faults, error):
     world = World(seed, error=error)
@@ -162,7 +186,9 @@
         world.clock.later(seconds(1.3), poll)
 
     poll()
-    world.run(seconds(70))
+    # The latest trouble has begun by then; what they leave behind is told by the world.
+    world.run(seconds(24))
+    world.run(max(seconds(46), world.calm + seconds(40) - world.clock.now()))
     # All is healthy again by now: what was accepted has run, and users are told so, each of them.
     for job in world.accepted:
         assert world.told[job] in ("done", "aborted"), (job, world.told[job])
@@ -201,7 +227,7 @@
     assert set(answered_everywhere(world, jobs).values()) == {200}
     world.state.outage(seconds(5))
     for at in range(3):
-        kill(world, at, seconds(0.2 + at))
+        world.restart(at, seconds(0.2 + at))
     world.run(seconds(15))
     got = answered_everywhere(world, jobs)
     assert set(got.values()) == {200} and len(got) == 900
--- a/tests/world.py
+++ b/tests/world.py
@@ -2,6 +2,8 @@
 loses, holds back and repeats. Every rule of the protocol is checked at the moment it could be broken."""
 
 import random
+from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
@@ -20,6 +22,9 @@
 from tests.standins import Cloud, Machine, Reply, StateService, Worker, decode, encode
 
 CANCEL = seconds(20)
+# What the users allow once all troubles are over: no answer about a job, and waiting while there is room.
+FORGOTTEN = seconds(75)
+IDLE_ROOM = seconds(90)
 TYPES = [
     {
         "name": "m8",
@@ -54,6 +59,8 @@
     write_rps: float = 100.0
     cloud_rps: float = 5.0
     sockets: int = 1024
+    # What a machine has.
+    machine_cpus: float = 8.0
 
 
 def platform(index: int, at: Deployment) -> Platform:
@@ -87,6 +94,37 @@
     )
 
 
+def description(job_id: str, fields: dict) -> dict:
+    """A job as its user describes it; `run_s` is for the stand-ins alone."""
+    return {
+        "ref": job_id,
+        "bobbin": "c",
+        "crew": "red",
+        "weave": "array",
+        "urgency": "normal",
+        "threads": 2,
+        "vcpus": 2.0,
+        "accelerators": 0.0,
+        "mem_gb": 2.0,
+        "pattern": "img",
+        "size_gb": 1.0,
+        "frames": None,
+        "glade": None,
+        "together": False,
+        "scatter": False,
+        "windfall": True,
+        "reckon_s": 4.0,
+        "knot_s": 0.0,
+        "tie_s": 0.0,
+        "due_s": None,
+        "run_s": 4.0,
+    } | fields
+
+
+def size(job: dict) -> float:
+    return job["threads"] * job["vcpus"]
+
+
 class LifeClock:
     """A process's view of the clock: once it is killed, none of its timers runs any more."""
 
@@ -254,8 +292,14 @@
         self.error = error
         self.state = StateService(self.clock)
         self.cloud = Cloud(
-            self.clock, self.rng, TYPES, self.at.capacity, self._machine_up, self._machine_down
+            self.clock,
+            self.rng,
+            [kind | {"vcpus": self.at.machine_cpus} for kind in TYPES],
+            self.at.capacity,
+            self._machine_up,
+            self._machine_down,
         )
+        self.led = 0
         self.workers: dict[str, Worker] = {}
         self.node_names = [f"node-{at}" for at in range(self.at.nodes)]
         self.names = {"10.2.0.1:1": "state", "10.2.0.2:1": "cloud"}
@@ -271,14 +315,37 @@
         self.lose = 0.0
         # Machines whose reports arrive, but which no answer and no order reaches.
         self.deaf: set[str] = set()
+        # Machines that reach no controller, while direct commands reach them.
+        self.mute: set[str] = set()
         # How often a late copy of a report comes, at any node, and of what a controller asked for.
-        self.copies = 0.0
+        self.late_reports = 0.0
         self.repeats = 0.0
+        # Of that share of the reports a copy is kept until a new leader leads, and then comes to all nodes.
+        self.kept_reports = 0.0
+        self.kept: list[tuple[str, str, str, bytes]] = []
+        # How often a transaction gets no answer: carried out 2 to 12 s later, or at once.
+        self.late_writes = 0.0
+        self.lost_answers = 0.0
+        # The longest that the store takes for an answer, and any message for its way.
+        self.slow_store = timedelta(0)
+        self.slow_links = timedelta(0)
+        # Of that share of the jobs that end the user cancels at the moment of the end.
+        self.cancel_at_end = 0.0
+        # Whether users ask at all nodes at once after what they were told; of that share they cancel as well.
+        self.close_looks = False
+        self.cancels_at_once = 0.0
+        # When the last trouble is over. World.run holds the service to more from there on.
+        self.calm = timedelta(0)
         # What users did and were told.
         self.jobs: dict[str, dict] = {}
         self.asked_abort: set[str] = set()
         self.told: dict[str, str] = {}
         self.answered: dict[str, timedelta] = {}
+        # Polls: when each job was last asked for. Submissions that can never run, by their ids.
+        self.asked: dict[str, timedelta] = {}
+        self.odd: dict[str, str] = {}
+        # How often some things happened, for the tests to see that they did.
+        self.counts: Counter[str] = Counter()
         self.accepted: set[str] = set()
         self.aborted_at: dict[str, timedelta] = {}
         # Where each task is, and what was broken.
@@ -287,8 +354,14 @@
         self.used: dict[str, float] = {}
         self.sent: dict[str, timedelta] = {}
         self.began: dict[str, timedelta] = {}
+        self.latest_start: dict[str, timedelta] = {}
         self.started = 0
         self.completed: set[str] = set()
+        # Starts after a confirmed cancellation that came within `cancel_s`.
+        self.started_late: list[str] = []
+        # Since when each job has waited although a machine had room for it; and when that was last looked at.
+        self.passed_over: dict[str, timedelta] = {}
+        self.looked = timedelta(0)
         self.broken: list[str] = []
         for index in range(self.at.nodes):
             self.start_node(index)
@@ -336,6 +409,147 @@
             self.lives[name].frozen = self.clock.now() + length
             self.cut_off(name, True, length)
 
+    # Troubles. What each does is in place at once and ends by itself.
+
+    def trouble(self, length: timedelta) -> None:
+        self.calm = max(self.calm, self.clock.now() + length)
+
+    def during(self, length: timedelta, name: str, value: Any) -> None:
+        """Sets one of the world's own figures for a while."""
+        self.trouble(length)
+        none = type(getattr(self, name))()
+        setattr(self, name, value)
+        self.clock.later(length, setattr, self, name, none)
+
+    def outage(self, length: timedelta) -> None:
+        self.trouble(length)
+        self.state.outage(length)
+
+    def refuse(self, index: int, length: timedelta) -> None:
+        """The store answers this node alone with 503."""
+        self.trouble(length)
+        self.refused.add(self.node_names[index])
+        self.clock.later(length, self.refused.discard, self.node_names[index])
+
+    def gap(self, alone: timedelta, length: timedelta) -> None:
+        """The store refuses the leader alone, and a second later it is down for all."""
+        leader = self.leader()
+        if leader is not None:
+            self.refuse(leader, alone)
+        self.clock.later(seconds(1), self.outage, length)
+
+    def restart(self, index: int, away: timedelta) -> None:
+        self.trouble(away)
+        self.kill_node(index)
+        self.clock.later(away, lambda: self.node_names[index] in self.nodes or self.start_node(index))
+
+    def isolate(self, index: int, hold: bool, length: timedelta) -> None:
+        """No store and no siblings, while workers and users still reach it."""
+        self.cut(self.node_names[index], [*self.node_names, "state"], hold, length)
+
+    def change_leaders(self, changes: int, span: timedelta) -> None:
+        """Leader after leader ends and is back a while later, or at once."""
+        self.trouble(span)
+
+        def end() -> None:
+            leader = self.leader()
+            if leader is not None:
+                self.counts["leaders ended"] += 1
+                self.restart(leader, seconds(self.rng.choice([0.2, 0.8, 3.0, 9.0])))
+
+        for number in range(changes):
+            self.clock.later(span * number / changes, end)
+
+    def make_deaf(self, machine: str, length: timedelta) -> None:
+        self.trouble(length)
+        self.deaf.add(machine)
+        self.clock.later(length, self.deaf.discard, machine)
+
+    def make_mute(self, machine: str, length: timedelta) -> None:
+        self.trouble(length)
+        self.mute.add(machine)
+        self.clock.later(length, self.mute.discard, machine)
+
+    def hang(self, machine: str, length: timedelta) -> None:
+        worker = self.workers.get(machine.partition(":")[0])
+        if worker is not None and not worker.gone:
+            self.counts["hung"] += 1
+            self.trouble(length)
+            worker.hang(length)
+            self.clock.later(length, self._gone_on, worker)
+
+    def _gone_on(self, worker: Worker) -> None:
+        """What a machine that hung goes on with may not have been cancelled long ago."""
+        if not worker.gone:
+            for task in worker.tasks.values():
+                at = self.aborted_at.get(task.name.rpartition("/")[0])
+                if task.stage == "running" and at is not None and self.clock.now() - at > CANCEL:
+                    self.broken.append(f"ran_cancelled {task.name} goes on after a hang")
+
+    def cancel_now(self, count: int, hang: timedelta) -> None:
+        """Users call off running jobs within a fifth of a second; some of their machines hang then."""
+        running = [job for job in self.jobs if self.machines_of(job) and job not in self.asked_abort]
+        self.trouble(seconds(0.2))
+        for job in self.rng.sample(running, min(count, len(running))):
+            self.counts["cancelled now"] += 1
+            machines = self.machines_of(job)
+            if hang and self.rng.random() < 0.5:
+                self.hang(self.rng.choice(machines), hang)
+            self.clock.later(seconds(self.rng.uniform(0, 0.2)), self.abort, job)
+
+    def machines_of(self, job: str) -> list[str]:
+        """Where its tasks are."""
+        tasks = (f"{job}/{index}" for index in range(self.jobs[job]["threads"]))
+        return sorted({machine for task in tasks for machine in self.on.get(task, ())})
+
+    def odd_requests(self, length: timedelta) -> None:
+        """Users repeat what is under way, cancel what is done, and send what can never run."""
+        self.trouble(length)
+        end = self.clock.now() + length
+
+        def one() -> None:
+            if self.clock.now() >= end:
+                return
+            self.clock.later(seconds(self.rng.uniform(0.1, 0.6)), one)
+            known = sorted(self.accepted)
+            open_jobs = [job for job in known if self.told.get(job) not in ("done", "aborted")]
+            done = [job for job in known if self.told.get(job) == "done"]
+            kind = self.rng.choice(["repeat", "abort", "odd", "odd"])
+            if kind == "repeat" and open_jobs:
+                self.repeat(self.rng.choice(open_jobs))
+            elif kind == "abort" and done:
+                self.abort(self.rng.choice(done))
+            elif kind == "odd":
+                self.submit_odd()
+
+        one()
+
+    def submit_odd(self) -> None:
+        """A job that lacks a field or fits nothing; it may never be accepted, and stays unknown."""
+        job_id = f"job-9{len(self.odd):05d}"
+        job = description(job_id, {})
+        how = self.rng.choice(["lacks", "too large", "no team", "no type", "not JSON", "beyond its limit"])
+        if how == "lacks":
+            del job[self.rng.choice(["crew", "threads", "vcpus", "pattern", "reckon_s", "scatter"])]
+        elif how == "too large":
+            job["vcpus"] = self.at.machine_cpus + 1
+        elif how == "beyond its limit":
+            job["vcpus"] = 1e6
+        elif how == "no team":
+            job["crew"] = "nobody"
+        elif how == "no type":
+            job["frames"] = ["none such"]
+        self.odd[job_id] = how
+        body = encode(job) if how != "not JSON" else b"{" + encode(job)
+
+        def told(status: int, body: bytes) -> None:
+            self.counts[f"odd {status}"] += 1
+            if status != (400 if how in ("lacks", "not JSON") else 422):
+                self.broken.append(f"odd {job_id} ({how}): {status}")
+
+        self.ask("POST", "/submissions", body, told)
+        self.clock.later(seconds(1), self.poll, job_id)
+
     def leader(self) -> int | None:
         return next(
             (at for at, name in enumerate(self.node_names) if name in self.nodes and self.nodes[name].leads),
@@ -349,6 +563,7 @@
 
     def cut(self, one: str, others: list[str], hold: bool, length: timedelta) -> None:
         pairs = [frozenset((one, other)) for other in others if other != one]
+        self.trouble(length)
         for pair in pairs:
             self.cuts.setdefault(pair, [] if hold else None)
         self.clock.later(length, self._heal, pairs)
@@ -358,6 +573,18 @@
         machines = [worker.machine.address for worker in self.workers.values()]
         self.cut(name, [*machines, *self.node_names, "state", "cloud", "user"], hold, length)
 
+    def cut_zone(self, zone: str, hold: bool, length: timedelta) -> None:
+        """A zone with its workers and controllers is cut off; inside it all goes on."""
+        machines = [worker.machine for worker in self.workers.values()]
+        nodes = {name: node._platform.zone for name, node in self.nodes.items()}
+        inside = [name for name, at in nodes.items() if at == zone]
+        outside = [name for name in self.node_names if name not in inside]
+        far = [machine.address for machine in machines if machine.zone != zone]
+        for name in inside:
+            self.cut(name, [*far, *outside, "state", "cloud", "user"], hold, length)
+        for name in outside:
+            self.cut(name, [machine.address for machine in machines if machine.zone == zone], hold, length)
+
     def _heal(self, pairs: list[frozenset[str]]) -> None:
         for pair in pairs:
             for send in self.cuts.pop(pair, None) or []:
@@ -369,7 +596,11 @@
     def carry(self, source: str, target: str, method: str, path: str, body: bytes, answered: Any) -> None:
         """Brings a request to its target and the answer back, if the network lets them through."""
 
+        late_write = target == "state" and path == "/txn" and self._goes_astray(source, body)
+
         def arrive() -> None:
+            if late_write:
+                return
             answer = self._serve(source, target, method, path, body)
             if isinstance(answer, Deferred):
                 answer.addCallback(back)
@@ -380,10 +611,18 @@
             if target == "state" and source in self.refused and answer[0] == 200:
                 # The watches that a refused node has open wait as in an outage.
                 return
-            self._pass(target, source, lambda: answered(answer))
+            if target == "state" and self.slow_store:
+                slow = self.slow_store * self.rng.random()
+                self.clock.later(slow, self._pass, target, source, lambda: answered(answer))
+            else:
+                self._pass(target, source, lambda: answered(answer))
 
+        if path == "/v1/report" and source in self.mute:
+            return
         self._pass(source, target, arrive)
-        if path == "/v1/report" and self.rng.random() < self.copies:
+        if path == "/v1/report" and self.rng.random() < self.kept_reports:
+            self.kept.append((source, method, path, body))
+        if path == "/v1/report" and self.rng.random() < self.late_reports:
             late = seconds(self.rng.uniform(1, 2.5 * self.at.lease.total_seconds()))
             other = self.rng.choice(self.node_names)
             self.clock.later(late, self._copy, source, other, method, path, body)
@@ -391,6 +630,35 @@
             late = seconds(self.rng.uniform(0.2, 8))
             self.clock.later(late, self._copy, source, target, method, path, body)
 
+    def _goes_astray(self, source: str, body: bytes) -> bool:
+        """Whether a transaction gets no answer. It is carried out all the same, late or at once."""
+        which = self.rng.random() if self.late_writes or self.lost_answers else 1.0
+        if which < self.late_writes:
+            self.clock.later(seconds(self.rng.uniform(2, 12)), self._carry_out, body)
+        elif which < self.late_writes + self.lost_answers:
+            self.clock.later(seconds(self.rng.uniform(0.001, 0.01)), self._carry_out, body)
+        else:
+            return False
+        self.counts["astray"] += 1
+        return True
+
+    def _carry_out(self, body: bytes) -> None:
+        if self.state.down:
+            # The service holds it back as well.
+            self.clock.later(seconds(0.3), self._carry_out, body)
+            return
+        answer = self.state.handle("POST", "/txn", body)
+        assert isinstance(answer, tuple)
+        self.counts["astray carried out" if answer[0] == 200 else "astray refused"] += 1
+
+    def deliver_kept(self) -> None:
+        """A new leader leads: what was kept for it comes, to every node."""
+        kept, self.kept = self.kept, []
+        for source, method, path, body in kept:
+            self.counts["kept delivered"] += 1
+            for name in list(self.nodes):
+                self._copy(source, name, method, path, body)
+
     def _copy(self, source: str, target: str, method: str, path: str, body: bytes) -> None:
         """A message that has been carried before comes again; whoever sent it waits for no answer."""
         if not self.is_cut(source, target) and target not in self.deaf:
@@ -407,7 +675,8 @@
             return
         if self.rng.random() < self.lose:
             return
-        self.clock.later(seconds(self.rng.uniform(0.001, 0.01)), deliver)
+        way = self.rng.uniform(0.001, 0.01) + self.slow_links.total_seconds() * self.rng.random()
+        self.clock.later(seconds(way), deliver)
 
     def _serve(
         self, source: str, target: str, method: str, path: str, body: bytes
@@ -452,7 +721,7 @@
             self.clock,
             self.rng,
             machine,
-            TYPES[0],
+            TYPES[0] | {"vcpus": self.at.machine_cpus},
             self.at.report,
             self.at.lease,
             self.jobs,
@@ -481,7 +750,21 @@
         if name in self.workers:
             self.workers[name].end()
 
+    def notice(self, name: str, length: timedelta) -> None:
+        """The cloud takes the machine away after a notice."""
+        self.trouble(length)
+        worker = self.workers[name]
+        worker.warning = self.clock.now() + length
+        worker.changed = True
+
+        def take() -> None:
+            self.cloud.machines.pop(name, None)
+            worker.end()
+
+        self.clock.later(length, take)
+
     def kill_machine(self, name: str) -> None:
+        self.trouble(timedelta(0))
         if name in self.cloud.machines:
             self.cloud.machines[name].stage = "failed"
         self._machine_down(name)
@@ -496,8 +779,11 @@
         self.on.setdefault(task, set()).add(machine)
         if len(self.on[task]) > 1:
             self.broken.append(f"ran_twice {task} on {sorted(self.on[task])} at {now}")
-        if job_id in self.aborted_at and now - self.aborted_at[job_id] > CANCEL:
-            self.broken.append(f"ran_cancelled {task} started at {now}")
+        if job_id in self.aborted_at:
+            if now - self.aborted_at[job_id] > CANCEL:
+                self.broken.append(f"ran_cancelled {task} started at {now}")
+            else:
+                self.started_late.append(task)
         at = self.workers[machine].machine
         if (at.spot and not job["windfall"]) or (job["glade"] and at.zone != job["glade"]):
             self.broken.append(f"wrong_place {task} on {machine}")
@@ -512,9 +798,10 @@
             self.broken.append(f"wrong_place {task}: not scattered")
         crew = job["crew"]
         used = self.used[crew] = self.used.get(crew, 0.0) + job["vcpus"]
-        if used > next(team["cpus_max"] for team in self.at.teams if team["name"] == crew) + 1e-9:
+        if used > self._limit(crew) + 1e-9:
             self.broken.append(f"quota {crew} {used}")
         self.began.setdefault(job_id, now)
+        self.latest_start[job_id] = now
 
     def _task_off(self, machine: str, task: str) -> None:
         self.on.get(task, set()).discard(machine)
@@ -523,12 +810,20 @@
         worker = self.workers[machine]
         if any(entry.name == task and entry.cause == "done" for entry in worker.tasks.values()):
             self.completed.add(task)
+            if self._complete(job["ref"]) and self.rng.random() < self.cancel_at_end:
+                self.counts["cancelled at its end"] += 1
+                self.abort(job["ref"])
+
+    def _complete(self, job: str) -> bool:
+        return all(f"{job}/{index}" in self.completed for index in range(self.jobs[job]["threads"]))
 
     # Users.
 
-    def ask(self, method: str, path: str, body: bytes, then: Any, tries: int = 40) -> None:
+    def ask(
+        self, method: str, path: str, body: bytes, then: Any, tries: int = 40, at: str | None = None
+    ) -> None:
         """Tries again, at any node, until it gets a definite answer."""
-        node = self.rng.choice(self.node_names)
+        node = at or self.rng.choice(self.node_names)
         settled: list[bool] = []
 
         def once(answer: Reply | None) -> None:
@@ -548,97 +843,217 @@
 
     def submit(self, number: int, **fields: Any) -> str:
         job_id = f"job-{number:06d}"
-        job = {
-            "ref": job_id,
-            "bobbin": "c",
-            "crew": "red",
-            "weave": "array",
-            "urgency": "normal",
-            "threads": 2,
-            "vcpus": 2.0,
-            "accelerators": 0.0,
-            "mem_gb": 2.0,
-            "pattern": "img",
-            "size_gb": 1.0,
-            "frames": None,
-            "glade": None,
-            "together": False,
-            "scatter": False,
-            "windfall": True,
-            "reckon_s": 4.0,
-            "knot_s": 0.0,
-            "tie_s": 0.0,
-            "due_s": None,
-            "run_s": 4.0,
-        } | fields
-        self.jobs[job_id] = job
+        self.jobs[job_id] = description(job_id, fields)
         self.sent[job_id] = self.clock.now()
+        self.repeat(job_id)
+        return job_id
+
+    def repeat(self, job_id: str, tries: int = 40, at: str | None = None) -> None:
+        """Sends a submission, for the first time or once more."""
+        before = self.told.get(job_id)
 
         def told(status: int, body: bytes) -> None:
+            self.counts[f"submission {status}"] += 1
             if status in (400, 404, 422):
                 self.broken.append(f"forgotten {job_id}: {status}")
                 return
-            self.accepted.add(job_id)
-            self._told(job_id, decode(body)["stage"])
+            if status == 201 and before is not None:
+                self.broken.append(f"went_back {job_id} accepted anew after {before}")
+            self._told(job_id, decode(body)["stage"], before)
 
-        self.ask("POST", "/submissions", encode(job), told)
-        return job_id
+        self.ask("POST", "/submissions", encode(self.jobs[job_id]), told, tries, at)
 
-    def abort(self, job_id: str) -> None:
+    def abort(self, job_id: str, tries: int = 40, at: str | None = None) -> None:
         self.asked_abort.add(job_id)
+        before = self.told.get(job_id)
 
         def told(status: int, body: bytes) -> None:
             if status == 200:
                 stage = decode(body)["stage"]
                 if stage == "aborted":
                     self.aborted_at.setdefault(job_id, self.clock.now())
-                self._told(job_id, stage)
-            elif status == 404 and job_id in self.accepted:
-                self.broken.append(f"forgotten {job_id}")
+                elif stage != "done":
+                    self.broken.append(f"abort {job_id} answered {stage}")
+                self._told(job_id, stage, before)
+            elif status == 404:
+                if before is not None:
+                    self.broken.append(f"forgotten {job_id}")
+            else:
+                self.broken.append(f"abort {job_id} answered {status}")
 
-        self.ask("POST", f"/submissions/{job_id}/abort", b"", told)
+        self.ask("POST", f"/submissions/{job_id}/abort", b"", told, tries, at)
 
-    def poll(self, job_id: str) -> None:
-        known = job_id in self.accepted
+    def poll(self, job_id: str, at: str | None = None) -> None:
         # What an answer must not be older than: what was told before the question.
         before = self.told.get(job_id)
+        self.asked[job_id] = self.clock.now()
 
         def told(status: int, body: bytes) -> None:
             self.answered[job_id] = self.clock.now()
             if status == 404:
-                if known:
+                if before is not None:
                     self.broken.append(f"forgotten {job_id}")
             elif job_id not in self.jobs:
                 self.broken.append(f"invented {job_id}")
             else:
                 self._told(job_id, decode(body)["stage"], before)
 
-        self.ask("GET", f"/submissions/{job_id}", b"", told, tries=0)
+        self.ask("GET", f"/submissions/{job_id}", b"", told, 0, at)
 
     def _told(self, job_id: str, stage: str, before: str | None = None) -> None:
+        self.accepted.add(job_id)
         if before in ("done", "aborted") and stage != before:
             self.broken.append(f"went_back {job_id} from {before} to {stage}")
+        known = self.told.get(job_id)
+        if {stage, known} == {"done", "aborted"}:
+            # Whichever came first, and wherever: both are for good.
+            self.broken.append(f"went_back {job_id} is called {known} and {stage}")
         if stage == "aborted" and job_id not in self.asked_abort:
             self.broken.append(f"went_back {job_id} aborted by nobody")
-        if stage == "done":
-            missing = [
-                index
-                for index in range(self.jobs[job_id]["threads"])
-                if f"{job_id}/{index}" not in self.completed
-            ]
-            if missing:
-                self.broken.append(f"not_done {job_id} misses {missing}")
+        if stage == "done" and not self._complete(job_id):
+            self.broken.append(f"not_done {job_id}")
+        if known in ("done", "aborted"):
+            return
+        self.told[job_id] = stage
+        if self.close_looks and (known is None or stage in ("done", "aborted")):
+            self._look_closely(job_id)
+
+    def _look_closely(self, job_id: str) -> None:
+        """Users ask at all nodes within milliseconds, again and again, and repeat the submission."""
+        self.counts["close looks"] += 1
+        for turn in range(4):
+            for node in self.node_names:
+                at = seconds(self.rng.uniform(0, 0.004) + turn * self.rng.choice([0.002, 0.02, 0.3]))
+                if self.rng.random() < 0.7:
+                    self.clock.later(at, self.poll, job_id, node)
+                else:
+                    self.clock.later(at, self.repeat, job_id, 0, node)
+        if self.told[job_id] not in ("done", "aborted") and self.rng.random() < self.cancels_at_once:
+            self.abort(job_id)
+
+    def watch(self, job_id: str, every: timedelta = timedelta(seconds=1.3)) -> None:
+        """Polls until the job is over, like its user."""
         if self.told.get(job_id) not in ("done", "aborted"):
-            self.told[job_id] = stage
+            self.poll(job_id)
+            self.clock.later(every, self.watch, job_id, every)
+
+    # What is asked of a whole day.
+
+    def served(self, key: Callable[[dict], Any]) -> dict:
+        """By class, team or whatever `key` gives: how much of its jobs is done, of those nobody cancelled."""
+        found: dict = {}
+        for job_id, job in self.jobs.items():
+            if job_id not in self.asked_abort:
+                found.setdefault(key(job), []).append(self.told.get(job_id) == "done")
+        return {name: sum(done) / len(done) for name, done in found.items()}
+
+    def largest(self) -> set[str]:
+        """Of each class the jobs that take as much as any of it, all tasks together."""
+        most: dict[str, float] = {}
+        for job in self.jobs.values():
+            most[job["bobbin"]] = max(most.get(job["bobbin"], 0.0), size(job))
+        return {job_id for job_id, job in self.jobs.items() if size(job) >= most[job["bobbin"]]}
+
+    def check_day(self) -> None:
+        """Every job known, and half of each class, of each team and of each class's largest jobs served; the
+        largest begun within four minutes."""
+        largest = self.largest()
+        assert self.jobs.keys() == self.accepted, sorted(self.jobs.keys() - self.accepted)
+        for key in (
+            lambda job: job["bobbin"],
+            lambda job: job["crew"],
+            lambda job: (job["bobbin"], job["ref"] in largest),
+        ):
+            shares = self.served(key)
+            assert min(shares.values(), default=1.0) >= 0.5, shares
+        waits = {
+            job: self.began.get(job, self.clock.now() + seconds(240)) - self.sent[job]
+            for job in largest - self.asked_abort
+        }
+        assert max(waits.values(), default=timedelta(0)) < seconds(240), waits
+
+    def _room(self) -> tuple[list[tuple[Machine, float, float]], Counter]:
+        """What each machine that is well has free, and the CPUs that each team holds."""
+        free: list[tuple[Machine, float, float]] = []
+        held: Counter[str] = Counter()
+        for worker in self.workers.values():
+            if worker.gone:
+                continue
+            for name, _ in worker.tasks:
+                job = self.jobs[name.rpartition("/")[0]]
+                held[job["crew"]] += job["vcpus"]
+            if worker.hung is None and worker.warning is None:
+                free.append((worker.machine, *worker._free()))
+        return free, held
+
+    def _fits(self, job: dict, free: list[tuple[Machine, float, float]], held: Counter) -> bool:
+        """Whether a task of the job could start somewhere, by all that the rules say."""
+        if held[job["crew"]] + job["vcpus"] > self._limit(job["crew"]):
+            return False
+        tasks = (f"{job['ref']}/{index}" for index in range(job["threads"]))
+        zones = [self.workers[name].machine.zone for task in tasks for name in self.on.get(task, ())]
+        for machine, cpus, memory in free:
+            if (machine.spot and not job["windfall"]) or (job["glade"] and job["glade"] != machine.zone):
+                continue
+            if job["together"] and zones and machine.zone not in zones:
+                continue
+            if job["scatter"] and zones.count(machine.zone) + 1 > (job["threads"] + 1) // 2:
+                continue
+            if cpus >= job["vcpus"] and memory >= job["mem_gb"]:
+                return True
+        return False
+
+    def _limit(self, team: str) -> float:
+        return next(entry["cpus_max"] for entry in self.at.teams if entry["name"] == team)
+
+    def _look_for_idle_room(self) -> None:
+        """No job may wait for long while a machine that fits has room and its team is under its limit."""
+        now = self.clock.now()
+        if now < self.calm or now - self.looked < seconds(2):
+            return
+        self.looked = now
+        free, held = self._room()
+        for job_id in self.accepted:
+            job = self.jobs[job_id]
+            tasks = [f"{job_id}/{index}" for index in range(job["threads"])]
+            if (
+                job_id in self.asked_abort
+                or self.told.get(job_id) in ("done", "aborted")
+                or all(task in self.completed or self.on.get(task) for task in tasks)
+                or not self._fits(job, free, held)
+            ):
+                self.passed_over.pop(job_id, None)
+                continue
+            since = max(self.passed_over.setdefault(job_id, now), self.latest_start.get(job_id, now * 0))
+            if now - since > IDLE_ROOM:
+                self.broken.append(f"waits {job_id} since {since} while there is room")
 
     def run(self, length: timedelta, step: timedelta = timedelta(milliseconds=50)) -> None:
         end = self.clock.now() + length
         while self.clock.now() < end:
             self.clock.advance(step)
             self.state.expire()
-            for job_id, at in self.aborted_at.items():
-                if self.clock.now() - at > CANCEL and any(
-                    self.on.get(f"{job_id}/{index}") for index in range(self.jobs[job_id]["threads"])
-                ):
-                    self.broken.append(f"ran_cancelled {job_id} still on a machine")
+            self._look_at_leader()
+            self._look_at_cancelled()
+            self._look_for_idle_room()
+            for job_id, asked in self.asked.items():
+                since = max(self.answered.get(job_id, timedelta(0)), self.calm, self.sent.get(job_id, asked))
+                if asked - since > FORGOTTEN:
+                    self.broken.append(f"forgotten {job_id}: no answer since {since}")
             assert not self.broken, self.broken
+
+    def _look_at_leader(self) -> None:
+        leading = [node.reign.term.token for node in self.nodes.values() if node.leads]
+        if leading and max(leading) > self.led:
+            self.led = max(leading)
+            self.counts["leaders"] += 1
+            self.deliver_kept()
+
+    def _look_at_cancelled(self) -> None:
+        for job_id, at in self.aborted_at.items():
+            if self.clock.now() - at <= CANCEL:
+                continue
+            # What hangs is looked at when it goes on.
+            on = [name for name in self.machines_of(job_id) if self.workers[name].hung is None]
+            if on:
+                self.broken.append(f"ran_cancelled {job_id} still on {on}")
