--- a/spindleglade/workers/attempts.py
+++ b/spindleglade/workers/attempts.py
@@ -190,6 +190,8 @@
     # Whether a report of this session has come under this leader's token.
     proven: bool = False
     heard: timedelta | None = None
+    # When it last reported by itself, which alone renews its lease; first, when it came to be known.
+    reported: timedelta | None = None
     # When a sibling that cannot reach this leader last said, through the store, that it renews its lease.
     vouched: timedelta | None = None
     # When a message straight to it last went unanswered since it was heard.
--- a/spindleglade/workers/intake.py
+++ b/spindleglade/workers/intake.py
@@ -13,7 +13,8 @@
 class Intake(Orders):
     def report(self, report: Report, now: timedelta, asked: bool) -> list[Order] | None:
         """Takes in a worker's report; `asked` if it came by the worker's own request, so that its answer
-        may carry orders. Returns them, or None if the machine is none of ours any more."""
+        may carry orders. Returns them, or None if the machine is none of ours any more, or its lease must run
+        out."""
         with self.lock:
             if report.token > self.token:
                 raise Deposed(report.token)
@@ -21,7 +22,9 @@
                 return None
             machine = self.machines.get(report.machine)
             if machine is None:
-                machine = Machine(report.machine, report.address, report.type, report.zone, report.spot)
+                machine = Machine(
+                    report.machine, report.address, report.type, report.zone, report.spot, reported=now
+                )
                 self.machines[report.machine] = machine
                 log.info(
                     "machine up machine=%s type=%s zone=%s spot=%s",
@@ -35,6 +38,8 @@
                 # of how the machine is now. Answered all the same: the worker drops what it does not await.
                 return []
             self.heard = machine.heard = now
+            if asked:
+                machine.reported = now
             machine.mute = None
             if (
                 machine.deaf is not None
@@ -49,12 +54,26 @@
             self._take_report(machine, report, now, asked)
             if not asked:
                 return []
+            if self._cancelled_start_may_land(machine):
+                return None
             machine.answered = now
             orders = self._orders(machine, now, report.tally)
             if not orders and report.token == self.token and self._settled(machine):
                 machine.steady = report.tasks
             return orders
 
+    @staticmethod
+    def _cancelled_start_may_land(machine: Machine) -> bool:
+        """A start that went straight to the machine may be held up there for as long as its session lasts.
+        Where the job is cancelled nothing else ends it in time if the cloud does not take the machine back:
+        one came half a minute after the cancellation, while the reports went another way."""
+        return any(
+            assignment.stop == "aborted"
+            and not assignment.seen
+            and (assignment.task, assignment.attempt) in machine.unsure
+            for assignment in machine.placed.values()
+        )
+
     def _unchanged(self, machine: Machine, report: Report) -> bool:
         """Most reports say what the one before said, and there is nothing to order."""
         return (
--- a/spindleglade/workers/placing.py
+++ b/spindleglade/workers/placing.py
@@ -26,6 +26,10 @@
                 machine.view = None
 
     def usable(self, machine: Machine, now: timedelta) -> bool:
+        recent = self.rules.report * 2 + timedelta(seconds=1)
+        # What it answers when it is asked renews no lease: one that reaches no node lost all that it was
+        # given, lease after lease.
+        renewed = max(machine.reported or self.began, machine.vouched or self.began)
         return (
             machine.proven
             and machine.leaves is None
@@ -34,7 +38,8 @@
             and not machine.releasing
             and machine.type in self.kinds
             and machine.heard is not None
-            and now - machine.heard < self.rules.report * 2 + timedelta(seconds=1)
+            and now - machine.heard < recent
+            and now - renewed < recent
             and now >= machine.full_until
         )
 
--- a/spindleglade/workers/recording.py
+++ b/spindleglade/workers/recording.py
@@ -73,7 +73,7 @@
                 machine = self.machines.get(placement.machine)
                 if machine is None:
                     # Not heard of yet. It counts as heard now, so that it gets a full lease to report.
-                    machine = Machine(placement.machine, "", "", "", True, heard=now)
+                    machine = Machine(placement.machine, "", "", "", True, heard=now, reported=now)
                     self.machines[placement.machine] = machine
                 machine.placed[(job_id, index)] = assignment
                 self._touch(machine)
--- a/tests/world.py
+++ b/tests/world.py
@@ -556,6 +556,14 @@
             None,
         )
 
+    def assignments(self) -> list[Any]:
+        """All that the leader holds to be on some machine."""
+        leader = self.leader()
+        reign = None if leader is None else self.nodes[self.node_names[leader]].reign
+        if reign is None:
+            return []
+        return [one for machine in reign.ledger.machines.values() for one in machine.placed.values()]
+
     # The network.
 
     def is_cut(self, one: str, other: str) -> bool:
@@ -770,7 +778,10 @@
         self._machine_down(name)
 
     def _run_s(self, task: str) -> float:
-        return self.jobs[task.rpartition("/")[0]]["run_s"] * self.rng.uniform(0.5, 1.5)
+        job, _, index = task.rpartition("/")
+        lasts = self.jobs[job]["run_s"]
+        # A list says it of each task; a figure is about right for all.
+        return lasts[int(index)] if isinstance(lasts, list) else lasts * self.rng.uniform(0.5, 1.5)
 
     def _task_on(self, machine: str, task: str) -> None:
         self.started += 1
@@ -812,7 +823,8 @@
             self.completed.add(task)
             if self._complete(job["ref"]) and self.rng.random() < self.cancel_at_end:
                 self.counts["cancelled at its end"] += 1
-                self.abort(job["ref"])
+                # At once, or while its end is on the way to the controllers.
+                self.clock.later(seconds(self.rng.choice([0.0, 0.05, 0.3, 0.6])), self.abort, job["ref"])
 
     def _complete(self, job: str) -> bool:
         return all(f"{job}/{index}" in self.completed for index in range(self.jobs[job]["threads"]))
