--- a/spindleglade/workers/intake.py
+++ b/spindleglade/workers/intake.py
@@ -22,7 +22,9 @@
                 return None
             machine = self.machines.get(report.machine)
             if machine is None:
-                machine = Machine(report.machine, report.address, report.type, report.zone, report.spot)
+                machine = Machine(
+                    report.machine, report.address, report.type, report.zone, report.spot, reported=now
+                )
                 self.machines[report.machine] = machine
                 log.info(
                     "machine up machine=%s type=%s zone=%s spot=%s",
@@ -36,6 +38,8 @@
                 # of how the machine is now. Answered all the same: the worker drops what it does not await.
                 return None if self._may_get_aborted(machine) else []
             self.heard = machine.heard = now
+            if asked:
+                machine.reported = now
             machine.mute = None
             if (
                 machine.deaf is not None
