--- a/spindleglade/backfill/preempting.py
+++ b/spindleglade/backfill/preempting.py
@@ -68,8 +68,9 @@
 
     def _stoppable(self, task: Running) -> bool:
         """Where only work that can save is stopped, it must also have run for a while: else it would run in
-        circles, fetching its image and saving by turns."""
-        if self.preempt != "saving":
+        circles, fetching its image and saving by turns. Idle-time work has its room only until others need
+        it: what had just started, or still fetched its image, kept them waiting for 20 s and more."""
+        if self.preempt != "saving" or self._idle_time(task):
             return True
         return task.loses is not None and task.since is not None and self.now - task.since >= _RUN_BEFORE_STOP
 
--- a/spindleglade/backfill/test_planner.py
+++ b/spindleglade/backfill/test_planner.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import replace
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -346,6 +347,18 @@
     assert stops(loses=saved, since=None) == [] and stops(loses=saved, since=NOW - seconds(5)) == []
 
 
+@pytest.mark.parametrize("fields", [{}, {"since": None}, {"since": NOW - seconds(5), "loses": seconds(4)}])
+def test_idle_time_work_gives_its_room_back_at_once(fields):
+    """What cannot save, fetches its image or has just started kept a job of 16 CPUs waiting for 20 s more."""
+
+    def stops(team, rank):
+        views = [machine("n-1", [replace(running(8.0, elapsed=60.0, team=team, rank=rank), **fields)])]
+        return stopped(plan([job("job-1", 2.0, rank=1)], views, preempt="saving"))
+
+    assert stops("guest", 0) == [("n-1", "job-1")]
+    assert stops("guest", 1) == [] and stops("t", 0) == []
+
+
 class EveryMachine(_Round):
     """The plain form: looks closely at each machine where anything may be stopped."""
 
