The pause of a refused kind ends when one is given back; old lists make no room

A kind refused for lack of capacity was left alone for up to 30 s even if a machine of it had just been given back. A request refused after that pauses as long as before, so the cloud is asked no more often than that.

Ruled out in _listed: nothing is concluded from absence, failed is final, what this leader gave back stays known as gone.

--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -205,6 +205,12 @@
     def granted(self, kind: Kind) -> None:
         self._pauses.pop(kind, None)
 
+    def given_back(self, kind: Kind, now: timedelta) -> None:
+        """There is one to be had again. Refused once more, it is left alone for longer all the same."""
+        pause = self._pauses.get(kind)
+        if pause is not None:
+            pause.until = min(pause.until, now)
+
     def open(self, kind: Kind, now: timedelta) -> bool:
         pause = self._pauses.get(kind)
         return pause is None or now >= pause.until
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -33,6 +33,8 @@
     zone: str
     spot: bool
     since: timedelta
+    # Listed as running when it was found.
+    up: bool = False
 
 
 class FleetManager:
@@ -79,7 +81,8 @@
         self._asked = 0
         # Requests under way: what they may bring counts as booting until they are answered.
         self._asking: dict[str, tuple[Rent, MachineType]] = {}
-        self._releasing: set[str] = set()
+        # Machines being given back, with their kind as far as it is known.
+        self._releasing: dict[str, Kind | None] = {}
         # Zones from which nothing is heard.
         self._cut: set[str] = set()
         self._probing: set[str] = set()
@@ -216,12 +219,19 @@
                         offers.append(offer)
         return offers
 
+    def _lost(self, boot: Booting, now: timedelta) -> bool:
+        """Whether it is no room to count on. The list is old, at times by twice its lag, so after a change of
+        leader it still names as running what the one before gave back. Taken for machines on their way until
+        they had booted too long, those kept others from being rented. One that runs reports, if it can."""
+        return boot.up and now - boot.since > self._silence
+
     def _rent(self, now: timedelta) -> None:
         if len(self._asking) >= 4 or not self._proven():
             return
         coming = [
             Room(boot.type.name, boot.zone, boot.spot, boot.type.cpus, boot.type.gpus, boot.type.memory_gb)
             for boot in self._booting.values()
+            if not self._lost(boot, now)
         ]
         for rent, kind in self._asking.values():
             coming += [
@@ -268,7 +278,8 @@
         claims = sum(
             max(0.0, team.cpus - self._used.get(team.name, 0.0)) for team in self._ledger.teams.values()
         )
-        coming = sum(boot.type.cpus for boot in self._booting.values())
+        now = self._clock.now()
+        coming = sum(boot.type.cpus for boot in self._booting.values() if not self._lost(boot, now))
         coming += sum(rent.count * kind.cpus for rent, kind in self._asking.values())
         return claims * self._settings.hold_guarantees - self._spare - coming
 
@@ -378,7 +389,6 @@
         for name, boot in list(self._booting.items()):
             if now - boot.since > seconds(boot.type.boot_s * self._settings.boot_patience):
                 names[name] = "boots too long"
-                del self._booting[name]
         if names:
             self._release(names)
 
@@ -395,8 +405,18 @@
             elif not all(silent):
                 self._cut.discard(zone)
 
+    def _kind(self, name: str) -> Kind | None:
+        with self._ledger.lock:
+            machine = self._ledger.machines.get(name)
+        if machine is not None:
+            return (machine.type, machine.zone, machine.spot)
+        boot = self._booting.get(name)
+        return None if boot is None else (boot.type.name, boot.zone, boot.spot)
+
     def _release(self, names: dict[str, str]) -> None:
-        self._releasing.update(names)
+        for name in names:
+            self._releasing[name] = self._kind(name)
+            self._booting.pop(name, None)
         chosen = list(names)
         for at in range(0, len(chosen), MOST_RELEASED):
             part = {name: names[name] for name in chosen[at : at + MOST_RELEASED]}
@@ -412,7 +432,9 @@
                 continue
             for name, reason in names.items():
                 self._ledger.machine_gone(name, reason)
-                self._releasing.discard(name)
+                kind = self._releasing.pop(name, None)
+                if kind is not None:
+                    self._refusals.given_back(kind, self._clock.now())
             self._changed()
             return
 
@@ -453,7 +475,6 @@
                 self._greet(machine.address, sessions.get(machine.name, 1))
             if machine.stage == "failed" and machine.name not in gone:
                 failed[machine.name] = "failed"
-                self._booting.pop(machine.name, None)
             elif machine.name in known or machine.name in gone or machine.name in self._booting:
                 continue
             elif machine.type in types:
@@ -461,7 +482,7 @@
                 # back for booting too long.
                 age = min(seconds(machine.age_s), now) if machine.stage == "starting" else ZERO
                 self._booting[machine.name] = Booting(
-                    types[machine.type], machine.zone, machine.spot, now - age
+                    types[machine.type], machine.zone, machine.spot, now - age, machine.stage == "running"
                 )
                 log.info("machine found machine=%s stage=%s", machine.name, machine.stage)
         if failed and self._proven():
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -11,6 +11,7 @@
 from spindleglade.backfill.snapshot import Freeing, Plan, Unmet
 from spindleglade.backfill.test_planner import job, machine
 from spindleglade.clock import ManualClock, seconds
+from spindleglade.fleet.client import NoCapacity
 from spindleglade.fleet.demand import Offer, Refusals, Room, Rooms, rentals, soon_free
 from spindleglade.fleet.manager import FleetManager
 from spindleglade.fleet.messages import Listed, MachineType
@@ -136,6 +137,61 @@
     assert refusals.open(kind, seconds(34))
 
 
+def test_the_pause_of_a_refused_kind_ends_when_one_is_given_back():
+    """No machine of the other kind comes free by that."""
+
+    class FullCloud(RecordingCloud):
+        async def rent(self, rent):
+            self.asked.append(("rent", clock.now()))
+            raise NoCapacity
+
+        async def release(self, names):
+            self.asked.append(("release", clock.now()))
+
+        async def machines(self):
+            return []
+
+    def just_after_release(spot):
+        fleet = manager(None, True, cloud, clock)
+        fleet._ledger.machines["n-1"] = Machine("n-1", "", "s", "a", spot, heard=clock.now())
+        fleet.demand(Plan(unmet=[Unmet(job("job-1", 4.0), 1, False)]))
+        fleet.start()
+        for _ in range(40):
+            clock.advance(seconds(0.5))
+        fleet.stop()
+        (at,) = [at for what, at in cloud.asked if what == "release"]
+        return [what for what, when in cloud.asked if at <= when <= at + seconds(0.5)]
+
+    clock, cloud = ManualClock(), FullCloud()
+    assert just_after_release(spot=True) == ["release", "rent"]
+    clock, cloud = ManualClock(), FullCloud()
+    assert just_after_release(spot=False) == ["release"]
+
+
+def test_what_an_old_list_shows_as_running_is_no_room_for_long():
+    """It named what the leader before had given back, and nothing was rented until that took too long."""
+
+    class LateCloud(RecordingCloud):
+        async def machines(self):
+            return [Listed("n-1", "x:1", "s", "a", True, stage, 9.0)]
+
+    def rented():
+        clock, cloud = ManualClock(), LateCloud()
+        fleet = manager(None, True, cloud, clock)
+        fleet.start()
+        for _ in range(60):
+            fleet.demand(Plan(unmet=[Unmet(job("job-1", 4.0), 1, False)]))
+            clock.advance(seconds(0.5))
+            if "rent" in cloud.asked:
+                return clock.now()
+        return None
+
+    stage = "running"
+    assert seconds(10) < rented() < seconds(13)
+    stage = "starting"
+    assert rented() is None
+
+
 def test_ordinary_machines_are_rented_only_for_jobs_that_waited_long():
     """While spot machines are all in use there is always some demand; a clock on the demand as a whole once
     rented eight ordinary machines at the end of a quiet day."""
