Tidying: one set of array types, free room as one array, one sense of heard of late

Nothing behaves otherwise. Field.views was read by nobody and recording's logger never used; Array was defined in five files; the room on machines was kept in three columns that nearly all stacked again; "two reports and a second" stood in two places and is a method of the book. What is gone stays known as gone, and says why.

--- a/spindleglade/backfill/distributions.py
+++ b/spindleglade/backfill/distributions.py
@@ -9,9 +9,8 @@
 
 import msgspec
 import numpy as np
-from numpy.typing import NDArray
 
-Array = NDArray[np.float64]
+from spindleglade.backfill.arrays import Array
 
 
 class Bins:
--- a/spindleglade/backfill/field.py
+++ b/spindleglade/backfill/field.py
@@ -1,24 +1,20 @@
 """A planning round's state: the open machines as columns, what teams use, and what fits where."""
 
 import numpy as np
-from numpy.typing import NDArray
 
+from spindleglade.backfill.arrays import Array, Counts, Mask
 from spindleglade.backfill.probability import Reservation
 from spindleglade.backfill.snapshot import JobView, MachineView, Plan, Running, Snapshot
 
-Array = NDArray[np.float64]
-Mask = NDArray[np.bool_]
-Counts = NDArray[np.int64]
-
 
 class Field:
     """The open machines as columns."""
 
     def __init__(self, machines: list[MachineView]) -> None:
-        self.views = machines
-        self.cpus = np.array([view.free_cpus for view in machines], float)
-        self.gpus = np.array([view.free_gpus for view in machines], float)
-        self.memory = np.array([view.free_memory for view in machines], float)
+        # What each has free: CPUs, GPUs, memory.
+        self.free = np.array(
+            [(view.free_cpus, view.free_gpus, view.free_memory) for view in machines], float
+        ).reshape(-1, 3)
         self.spot = np.array([view.spot for view in machines], bool)
         self.pull = np.array([view.pull_gb_per_s for view in machines], float)
         self.pulls = np.array([len(view.pulling) for view in machines], float)
@@ -139,24 +135,22 @@
                 mask[columns.index[name]] = False
         return mask
 
-    def _unclaimed(self, job: JobView | None) -> tuple[Array, Array, Array]:
+    def _unclaimed(self, job: JobView | None) -> Array:
         """What is free on each machine, less the room held there for jobs other than this one."""
         columns = self.field
         if not columns.claimed:
-            return columns.cpus, columns.gpus, columns.memory
-        cpus, gpus, memory = columns.cpus.copy(), columns.gpus.copy(), columns.memory.copy()
+            return columns.free
+        free = columns.free.copy()
         for at in columns.claimed:
             for claimant, count in self.machines[at].claims.items():
                 other = self.by_id.get(claimant) if job is None or claimant != job.id else None
                 if other is not None and count > 0:
-                    cpus[at] -= other.cpus * count
-                    gpus[at] -= other.gpus * count
-                    memory[at] -= other.memory * count
-        return cpus, gpus, memory
+                    free[at] -= np.multiply(other.need, count)
+        return free
 
     def _fits(self, job: JobView) -> Counts:
         """How many tasks of the job each machine has room for."""
-        fits = job.fitting_each(np.column_stack(self._unclaimed(job)))
+        fits = job.fitting_each(self._unclaimed(job))
         return np.where(self._allowed(job), fits, 0.0).astype(np.int64)
 
     def _order(self, job: JobView, fits: Counts) -> Counts:
@@ -165,4 +159,4 @@
         able = np.nonzero(fits)[0]
         fetch = self.field.fetch_s(job.image, job.image_gb)
         dear = self.field.spot == self.ordinary_first
-        return able[np.lexsort((self.field.cpus[able], dear[able], fetch[able]))]
+        return able[np.lexsort((self.field.free[able, 0], dear[able], fetch[able]))]
--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -51,15 +51,14 @@
                 self._place_job(job, refused, full)
         if self.preempt != "none":
             self._make_room()
-        self.plan.spare_cpus = float(np.maximum(self.field.cpus, 0.0).sum())
+        self.plan.spare_cpus = float(np.maximum(self.field.free[:, 0], 0.0).sum())
         self.plan.used_cpus = self.used_cpus
         self.plan.freeing = self._freeing
         return self.plan
 
     def _freeing(self) -> Freeing:
         where, rows, expected, _, _ = self._outlook()
-        free = np.column_stack((self.field.cpus, self.field.gpus, self.field.memory))
-        return Freeing(self.machines, free, where, expected, rows[:, 3:])
+        return Freeing(self.machines, self.field.free, where, expected, rows[:, 3:])
 
     def _place_job(self, job: JobView, refused: set[tuple], full: set[tuple]) -> None:
         limit = self._room(job, guarantee=False)
@@ -137,9 +136,7 @@
         self.plan.starts.append(Start(job.id, index, machine.name))
         task = Running(job.id, index, job.team, job.rank, job.cpus, job.gpus, job.memory, job.estimate)
         self.added.append((at, task))
-        columns.cpus[at] -= job.cpus
-        columns.gpus[at] -= job.gpus
-        columns.memory[at] -= job.memory
+        columns.free[at] -= job.need
         if job.image not in machine.images:
             coming = columns.pulling.setdefault(job.image, set())
             if at not in coming:
@@ -155,8 +152,6 @@
         for at in reversed(placed):
             self.plan.starts.pop()
             self.added.pop()
-            self.field.cpus[at] += job.cpus
-            self.field.gpus[at] += job.gpus
-            self.field.memory[at] += job.memory
+            self.field.free[at] += job.need
             job.zones[self.machines[at].zone] -= 1
             self._use(job.team, -job.cpus, -job.gpus)
--- a/spindleglade/backfill/preempting.py
+++ b/spindleglade/backfill/preempting.py
@@ -5,7 +5,8 @@
 
 import numpy as np
 
-from spindleglade.backfill.field import Array, Round
+from spindleglade.backfill.arrays import Array
+from spindleglade.backfill.field import Round
 from spindleglade.backfill.snapshot import EPS, JobView, Running, Stop
 
 # Tasks stopped in one round; the rest waits for the next.
@@ -115,7 +116,7 @@
         """Machines on which enough may be stopped for a task of the job, those with the least to lose first.
         Hundreds of machines looked through for each of hundreds of jobs, though next to none had anything to
         stop for them, made rounds of more than a second."""
-        free = np.column_stack(self._unclaimed(None)) + self._freed_for(job.rank)
+        free = self._unclaimed(None) + self._freed_for(job.rank)
         enough = (job.fitting_each(free) > 0) & self._allowed(job)
         rooms = np.array(self.rooms, np.int64)
         able = rooms[enough[rooms]]
@@ -126,10 +127,10 @@
     def _stop_for(self, job: JobView) -> bool:
         guaranteed = self._within(job, guarantee=True)
         best, best_loss = None, None
-        free_cpus, free_gpus, free_memory = self._unclaimed(None)
+        free = self._unclaimed(None)
         for at in self._worth_looking(job):
             machine = self.machines[at]
-            cpus, gpus, memory = free_cpus[at], free_gpus[at], free_memory[at]
+            cpus, gpus, memory = free[at]
             chosen: list[Running] = []
             freed: dict[str, float] = {}
             loss = 0.0
--- a/spindleglade/backfill/probability.py
+++ b/spindleglade/backfill/probability.py
@@ -7,10 +7,8 @@
 """
 
 import numpy as np
-from numpy.typing import NDArray
 
-Array = NDArray[np.float64]
-Numbers = NDArray[np.int64]
+from spindleglade.backfill.arrays import Array, Counts
 
 # Times at which the table is kept. Where more tasks may end than that, some of their ends are left out: the
 # differences hardly change from one end to the next, and a round must stay short.
@@ -33,7 +31,7 @@
     lacks `lacks` units beyond those free now."""
 
     def __init__(
-        self, ends: Array, weights: Array, units: Numbers, lacks: int, most_events: int = MOST_EVENTS
+        self, ends: Array, weights: Array, units: Counts, lacks: int, most_events: int = MOST_EVENTS
     ) -> None:
         self._lacks = lacks
         events = np.unique(ends[weights > 0])
--- a/spindleglade/backfill/reserving.py
+++ b/spindleglade/backfill/reserving.py
@@ -4,7 +4,8 @@
 
 import numpy as np
 
-from spindleglade.backfill.field import Array, Counts, Mask, Round
+from spindleglade.backfill.arrays import Array, Counts, Mask
+from spindleglade.backfill.field import Round
 from spindleglade.backfill.probability import Reservation
 from spindleglade.backfill.snapshot import EPS, JobView, task_rows
 
@@ -31,8 +32,8 @@
         what would then be left over, for the tasks that must end their places and machines, and all ends and
         weights."""
         where, rows, expected, ends, weights = self._outlook()
-        need = np.array([job.cpus, job.gpus, job.memory]) - EPS
-        free = np.column_stack(self._unclaimed(job))
+        need = np.array(job.need) - EPS
+        free = self._unclaimed(job)
         order = np.lexsort((expected, where))
         at = where[order]
         freed = np.cumsum(rows[order, 3:], axis=0)
--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -6,13 +6,11 @@
 from datetime import timedelta
 
 import numpy as np
-from numpy.typing import NDArray
 
+from spindleglade.backfill.arrays import Array, Counts
 from spindleglade.backfill.distributions import Predictor
 from spindleglade.settings.platform import Team
 
-Array = NDArray[np.float64]
-
 # Room in CPUs, GPUs and memory comes of sums and differences: what lacks less than this is there.
 EPS = 1e-6
 
@@ -151,6 +149,11 @@
         """Tasks with the same key fit the same machines."""
         return (self.cpus, self.gpus, self.memory, self.types, self.zone, self.spot)
 
+    @property
+    def need(self) -> tuple[float, float, float]:
+        """What a task takes: CPUs, GPUs, memory."""
+        return (self.cpus, self.gpus, self.memory)
+
     def fitting(self, cpus: float, gpus: float, memory: float = math.inf) -> int:
         """How many of its tasks fit into that, which may be infinite: a team may be without a limit."""
         most = min(COUNTLESS, (cpus + EPS) / self.cpus)
@@ -162,7 +165,7 @@
 
     def fitting_each(self, free: Array) -> Array:
         """The same for many machines at once, a row of CPUs, GPUs and memory each."""
-        need = np.array((self.cpus, self.gpus, self.memory))
+        need = np.array(self.need)
         asked = need > 0
         return np.maximum(np.floor((free[:, asked] + EPS) / need[asked]).min(axis=1), 0.0)
 
@@ -216,7 +219,7 @@
 
     machines: list[MachineView]
     free: Array
-    where: NDArray[np.int64]
+    where: Counts
     after: Array
     frees: Array
 
--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -11,14 +11,13 @@
 from typing import NamedTuple
 
 import numpy as np
-from numpy.typing import ArrayLike, NDArray
+from numpy.typing import ArrayLike
 
+from spindleglade.backfill.arrays import Array
 from spindleglade.backfill.snapshot import Freeing, JobView, MachineView, Unmet
 from spindleglade.fleet.messages import MachineType
 from spindleglade.settings.platform import Team
 
-Array = NDArray[np.float64]
-
 Kind = tuple[str, str, bool]
 
 
@@ -82,7 +81,7 @@
         fits = np.where(suits[self._codes], job.fitting_each(self._free), 0.0)
         before = np.cumsum(fits) - fits
         taken = np.clip(most - before, 0.0, fits)
-        self._free -= taken[:, None] * np.array((job.cpus, job.gpus, job.memory))
+        self._free -= taken[:, None] * np.array(job.need)
         return int(taken.sum())
 
 
--- a/spindleglade/workers/book.py
+++ b/spindleglade/workers/book.py
@@ -46,7 +46,8 @@
         self.heard = now
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
-        # Machines proven gone; late reports of theirs must not bring them back.
+        # Machines proven gone; late reports of theirs must not bring them back. Never emptied: nothing bounds
+        # how late a report, or the list of machines, may still speak of one.
         self.gone: set[str] = set()
         # Chunks that differ from what is recorded, the longest first.
         self.dirty: dict[tuple[str, int], None] = {}
@@ -63,6 +64,11 @@
         # Counts what planning or recording could want to know.
         self.changes = 0
 
+    def _lately_heard(self, machine: Machine, now: timedelta) -> bool:
+        return machine.heard is not None and now - machine.heard < self.rules.report * 2 + timedelta(
+            seconds=1
+        )
+
     def _touch(self, machine: Machine) -> None:
         """Something on the machine has changed."""
         machine.view = machine.steady = None
--- a/spindleglade/workers/orders.py
+++ b/spindleglade/workers/orders.py
@@ -124,11 +124,10 @@
         """The machines heard of late, by what became of the latest message straight to them: unanswered,
         answered, and those that got none of late."""
         window = self.rules.lease / 2
-        recent = self.rules.report * 2 + timedelta(seconds=1)
         unanswered, answered, untried = [], [], []
         with self.lock:
             for machine in self.machines.values():
-                if machine.heard is None or now - machine.heard > recent or not machine.address:
+                if not machine.address or not self._lately_heard(machine, now):
                     continue
                 failed = machine.unreached is not None and now - machine.unreached <= window
                 worked = machine.reached is not None and now - machine.reached <= window
--- a/spindleglade/workers/placing.py
+++ b/spindleglade/workers/placing.py
@@ -33,8 +33,7 @@
             and not machine.condemned
             and not machine.releasing
             and machine.type in self.kinds
-            and machine.heard is not None
-            and now - machine.heard < self.rules.report * 2 + timedelta(seconds=1)
+            and self._lately_heard(machine, now)
             and now >= machine.full_until
         )
 
--- a/spindleglade/workers/recording.py
+++ b/spindleglade/workers/recording.py
@@ -1,14 +1,11 @@
 """What the store holds of the book: reading it, and what of it is to be written next."""
 
-import logging
 from datetime import timedelta
 
 from spindleglade.submissions.records import TASKS, Chunk, JobRecord, chunk_key
 from spindleglade.workers.attempts import DONE, PLACED, ZERO, Assignment, Batch, Job, Machine
 from spindleglade.workers.book import Book
 
-log = logging.getLogger("spindleglade.workers")
-
 
 class Recording(Book):
     def take_job(self, record: JobRecord, mark: int, now: timedelta = ZERO, age: timedelta = ZERO) -> None:
