A job that fails everywhere is tried by one task at a time

Its tasks all started again at the end of each pause, and as each failure of a batch doubled the pause, it was the longest at once. Now a batch of failures counts once, one task shows how the job is, and the others follow once one has run for longer than the pause. Jobs like several such (team, class, shape) begin with one task. A trial reserves and rents nothing unless it is overdue. A machine that such a job's error had condemned is used again. Ruled out: such jobs filled no distribution and ended no job before either.

--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -82,7 +82,8 @@
         else:
             placed = 0
         rest = wanted - placed
-        if rest:
+        # Room is neither reserved nor rented to see a job fail once more, unless it waits too long for it.
+        if rest and (job.overdue or not job.trial):
             self.plan.unmet.append(Unmet(job, rest, self._within(job, guarantee=True)))
             if job.overdue:
                 self._hold(job, rest)
--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -126,6 +126,8 @@
     avoid: frozenset[str] = frozenset()
     # Waiting tasks an older attempt of which still lies uncleared on some machines.
     barred: dict[int, set[str]] = field(default_factory=dict)
+    # It has failed on several machines; this start only shows whether it still does.
+    trial: bool = False
 
     def like(self) -> tuple:
         """Tasks with the same key are decided together."""
--- a/spindleglade/workers/intake.py
+++ b/spindleglade/workers/intake.py
@@ -210,15 +210,19 @@
 
     def _failed(self, machine: Machine, job: Job, assignment: Assignment, now: timedelta) -> None:
         """One failure does not tell whose fault it is. Several jobs failing on a machine condemn it; a job
-        failing on several machines is paused, and speaks against none of them."""
+        failing on several machines is paused, and speaks against none of them: a machine that its error had
+        condemned is used again."""
         job.failed_on.add(machine.name)
         job.avoid.add(machine.name)
         if len(job.failed_on) > 1:
             self._back_off(job, now)
             for name in job.failed_on:
                 other = self.machines.get(name)
-                if other is not None:
+                if other is not None and job.id in other.errors:
                     other.errors.discard(job.id)
+                    if other.condemned and len(other.errors) < self.rules.faulty_jobs:
+                        other.condemned = False
+                        log.info("machine no longer condemned machine=%s job=%s", name, job.id)
         else:
             machine.errors.add(job.id)
             if len(machine.errors) >= self.rules.faulty_jobs and not machine.condemned:
@@ -226,10 +230,14 @@
                 log.info("machine condemned machine=%s jobs=%s", machine.name, sorted(machine.errors))
 
     def _back_off(self, job: Job, now: timedelta) -> None:
-        job.backoff = min(max(job.backoff * 2, self.rules.backoff), self.rules.backoff_most)
-        job.not_before = now + job.backoff
         # Its old failures say little by then, and every machine must stay open to it.
         job.avoid.clear()
+        if job.not_before > now:
+            # Another of the tasks that were started together. Each lengthened the pause: it was the longest
+            # at once, and at its end all failed again.
+            return
+        job.backoff = min(max(job.backoff * 2, self.rules.backoff), self.rules.backoff_most)
+        job.not_before = now + job.backoff
         log.info("job paused job=%s for_s=%.0f", job.id, job.backoff.total_seconds())
 
     def _absent(self, machine: Machine, assignment: Assignment, key: tuple[str, int]) -> None:
--- a/spindleglade/workers/test_ledger.py
+++ b/spindleglade/workers/test_ledger.py
@@ -384,6 +384,95 @@
     assert book.ledger.machines["n-1"].condemned and book.ledger.jobs["job-1"].open
 
 
+def test_a_machine_is_used_again_once_a_job_that_condemned_it_fails_elsewhere():
+    book = Book()
+    book.ledger.take_job(JobRecord("open", spec("job-2", 2), 1), 2)
+    for name in ("n-1", "n-2", "n-3"):
+        book.report(machine=name)
+
+    def fail(job, machine):
+        start_all(book, job, [machine])
+        end_all(book, job, "error")
+
+    fail("job-1", "n-1")
+    fail("job-2", "n-1")
+    assert book.ledger.machines["n-1"].condemned
+    fail("job-2", "n-2")
+    assert not book.ledger.machines["n-1"].condemned and book.ledger.machines["n-1"].errors == {"job-1"}
+
+
+def start_all(book, job, machines):
+    """Starts a waiting task of the job on each of the machines."""
+    for machine in machines:
+        book.report(machine=machine)
+    waiting = book.ledger.jobs[job].waiting(len(machines))
+    starts = [Start(job, index, machine) for index, machine in zip(waiting, machines, strict=True)]
+    assert book.ledger.apply(Plan(starts=starts), book.now) == len(starts)
+    book.record()
+    for machine in machines:
+        book.report(machine=machine)
+
+
+def end_all(book, job, *how):
+    """All tasks of the job that are placed are reported so."""
+    by_machine = {}
+    for assignment in book.ledger.jobs[job].placed.values():
+        by_machine.setdefault(assignment.machine, []).append((assignment.task, assignment.attempt))
+    for machine, tasks in by_machine.items():
+        state = how if how[0] == "running" else ("exited", *how)
+        book.report(*[(task, attempt, *state) for task, attempt in tasks], machine=machine)
+
+
+def test_a_job_that_fails_everywhere_is_tried_by_one_task_at_a_time():
+    """All its tasks were started at the end of each pause, and each failure lengthened the next one."""
+    book = Book()
+    book.ledger.take_job(JobRecord("open", spec("job-2", 6), 1), 2)
+    book.report()
+    book.report(machine="n-2")
+    job = book.ledger.jobs["job-2"]
+
+    def tries():
+        return [len(view.waiting) for view in book.ledger.snapshot(book.now).jobs if view.id == "job-2"]
+
+    assert tries() == [6]
+    start_all(book, "job-2", ["n-1", "n-1", "n-2", "n-2"])
+    end_all(book, "job-2", "error")
+    assert job.not_before == book.now + seconds(5) and tries() == []
+    book.now += seconds(5)
+    assert tries() == [1]
+    start_all(book, "job-2", ["n-1"])
+    assert tries() == []
+    end_all(book, "job-2", "error")
+    assert job.not_before == book.now + seconds(10)
+    book.now += seconds(10)
+    start_all(book, "job-2", ["n-2"])
+    end_all(book, "job-2", "running")
+    book.now += seconds(10.5)
+    # It has run for longer than it was paused.
+    assert tries() == [5]
+    end_all(book, "job-2", "done")
+    assert tries() == [5] and not book.ledger.machines["n-2"].errors
+
+
+def test_jobs_like_several_that_fail_everywhere_are_tried_by_one_task_too():
+    book = Book()
+    for number, name in ((2, "c"), (3, "c"), (4, "c"), (5, "other")):
+        record = JobRecord("open", spec(f"job-{number}", 4, job_class=name), 1)
+        book.ledger.take_job(record, number)
+    book.report()
+    book.report(machine="n-2")
+
+    def waiting():
+        return {view.id: len(view.waiting) for view in book.ledger.snapshot(book.now).jobs}
+
+    start_all(book, "job-2", ["n-1", "n-2"])
+    end_all(book, "job-2", "error")
+    assert waiting() == {"job-1": 2, "job-3": 4, "job-4": 4, "job-5": 4}
+    start_all(book, "job-3", ["n-1", "n-2"])
+    end_all(book, "job-3", "error")
+    assert waiting() == {"job-1": 1, "job-4": 1, "job-5": 4}
+
+
 def test_only_done_runs_enter_the_history():
     book = Book().running()
     book.now += seconds(3)
--- a/spindleglade/workers/views.py
+++ b/spindleglade/workers/views.py
@@ -50,10 +50,16 @@
 
 
 def job_view(
-    job: Job, machines: dict[str, Machine], room: float, overdue: bool, barred: dict[int, set[str]]
+    job: Job,
+    machines: dict[str, Machine],
+    room: float,
+    overdue: bool,
+    barred: dict[int, set[str]],
+    trial: bool = False,
 ) -> JobView:
     """`room`: CPUs that one round could at most fill."""
     spec = job.spec
+    most = 1 if trial else int(room / spec.cpus) + 1
     zones: dict[str, int] = {}
     if spec.one_zone or spec.spread:
         for assignment in job.placed.values():
@@ -65,7 +71,7 @@
         spec.team,
         spec.job_class,
         job.rank,
-        job.waiting(len(job.state) if spec.whole else int(room / spec.cpus) + 1),
+        job.waiting(len(job.state) if spec.whole else most),
         spec.tasks,
         spec.cpus,
         spec.gpus,
@@ -83,4 +89,5 @@
         overdue,
         frozenset(job.avoid),
         barred,
+        trial,
     )
