--- a/spindleglade/backfill/field.py
+++ b/spindleglade/backfill/field.py
@@ -103,12 +103,6 @@
             cpus, gpus = cpus - self.kept[job.team][0], gpus - self.kept[job.team][1]
         return job.fitting(cpus - self.used_cpus.get(job.team, 0.0), gpus - self.used_gpus.get(job.team, 0.0))
 
-    def _idle_time(self, work: JobView | Running) -> bool:
-        """Whether it is there to use what would stand idle: it has the lowest priority, and its team is
-        guaranteed nothing."""
-        team = self.teams.get(work.team)
-        return work.rank == 0 and (team is None or not (team.cpus or team.gpus))
-
     def _within(self, job: JobView, guarantee: bool) -> bool:
         return self._room(job, guarantee) > 0
 
--- a/spindleglade/backfill/preempting.py
+++ b/spindleglade/backfill/preempting.py
@@ -7,7 +7,7 @@
 
 from spindleglade.backfill.arrays import Array
 from spindleglade.backfill.field import Round
-from spindleglade.backfill.snapshot import EPS, JobView, Running, Stop
+from spindleglade.backfill.snapshot import EPS, JobView, Running, Stop, idle_time
 
 # Tasks stopped in one round; the rest waits for the next.
 _MOST_STOPS = 24
@@ -71,7 +71,7 @@
         """Where only work that can save is stopped, it must also have run for a while: else it would run in
         circles, fetching its image and saving by turns. Idle-time work has its room only until others need
         it: what had just started, or still fetched its image, kept them waiting for 20 s and more."""
-        if self.preempt != "saving" or self._idle_time(task):
+        if self.preempt != "saving" or idle_time(task, self.teams):
             return True
         return task.loses is not None and task.since is not None and self.now - task.since >= _RUN_BEFORE_STOP
 
--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -177,6 +177,13 @@
         return not (self.one_zone or self.spread or self.whole or self.barred)
 
 
+def idle_time(work: Running | JobView, teams: dict[str, Team]) -> bool:
+    """Whether it is there to use what would stand idle: it has the lowest priority, and its team is
+    guaranteed nothing."""
+    team = teams.get(work.team)
+    return work.rank == 0 and (team is None or not (team.cpus or team.gpus))
+
+
 @dataclass(slots=True)
 class Snapshot:
     # In submission order.
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from spindleglade.backfill.snapshot import Freeing, Plan, Unmet
+from spindleglade.backfill.snapshot import Freeing, Plan, Unmet, idle_time
 from spindleglade.clock import ZERO, Clock, seconds, sleep
 from spindleglade.fleet.client import MOST_RELEASED, MOST_RENTED, CloudClient, NoCapacity, Refused, Silent
 from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, Rooms, rentals, soon_free
@@ -122,7 +122,10 @@
         self._freeing = plan.freeing
         now = self._clock.now()
         self._waiting_since = {
-            entry.job.id: self._waiting_since.get(entry.job.id, now) for entry in plan.unmet
+            entry.job.id: self._waiting_since.get(entry.job.id, now)
+            for entry in plan.unmet
+            # Ordinary machines cost several times as much; that is not for work which only fills idle ones.
+            if not idle_time(entry.job, self._ledger.teams)
         }
 
     async def _run(self) -> None:
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -218,6 +218,31 @@
         return [Listed("n-2", "x:2", "s", "a", True, "failed", 9.0)]
 
 
+def test_no_ordinary_machine_is_rented_for_idle_time_work_however_long_it_waits():
+    class NoSpot(RecordingCloud):
+        async def rent(self, rent):
+            self.asked.append(rent.spot)
+            if rent.spot:
+                raise NoCapacity
+            return []
+
+        async def machines(self):
+            return []
+
+    def asked(team, rank):
+        clock, cloud = ManualClock(), NoSpot()
+        fleet = manager(None, True, cloud, clock)
+        fleet._ledger.teams = TEAMS
+        fleet.start()
+        for _ in range(70):
+            fleet.demand(Plan(unmet=[Unmet(job("job-1", 4.0, team=team, rank=rank), 1, False)]))
+            clock.advance(seconds(10))
+        return set(cloud.asked)
+
+    assert asked("guest", 0) == {True}
+    assert asked("guest", 1) == asked("t", 0) == {True, False}
+
+
 def test_a_zone_that_is_cut_off_comes_last():
     """Its machines were all given up, so it had the fewest, and 70 of 100 were rented behind the cut."""
     offers = [Offer(SMALL, "a", True, 0, cut=True), Offer(SMALL, "b", True, 9)]
