--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -6,16 +6,17 @@
 from datetime import timedelta
 
 import numpy as np
-from numpy.typing import NDArray
 
+from spindleglade.backfill.arrays import Array, Counts
 from spindleglade.backfill.distributions import Predictor
 from spindleglade.settings.platform import Team
 
-Array = NDArray[np.float64]
-
 # Room in CPUs, GPUs and memory comes of sums and differences: what lacks less than this is there.
 EPS = 1e-6
 
+# More tasks than there can be, where nothing bounds their number.
+COUNTLESS = 1e9
+
 
 @dataclass(slots=True)
 class Running:
@@ -125,6 +126,8 @@
     avoid: frozenset[str] = frozenset()
     # Waiting tasks an older attempt of which still lies uncleared on some machines.
     barred: dict[int, set[str]] = field(default_factory=dict)
+    # It has failed on several machines; this start only shows whether it still does.
+    trial: bool = False
 
     def like(self) -> tuple:
         """Tasks with the same key are decided together."""
@@ -148,9 +151,14 @@
         """Tasks with the same key fit the same machines."""
         return (self.cpus, self.gpus, self.memory, self.types, self.zone, self.spot)
 
+    @property
+    def need(self) -> tuple[float, float, float]:
+        """What a task takes: CPUs, GPUs, memory."""
+        return (self.cpus, self.gpus, self.memory)
+
     def fitting(self, cpus: float, gpus: float, memory: float = math.inf) -> int:
-        """How many of its tasks fit into that."""
-        most = (cpus + EPS) / self.cpus
+        """How many of its tasks fit into that, which may be infinite: a team may be without a limit."""
+        most = min(COUNTLESS, (cpus + EPS) / self.cpus)
         if self.gpus > 0:
             most = min(most, (gpus + EPS) / self.gpus)
         if self.memory > 0:
@@ -159,7 +167,7 @@
 
     def fitting_each(self, free: Array) -> Array:
         """The same for many machines at once, a row of CPUs, GPUs and memory each."""
-        need = np.array((self.cpus, self.gpus, self.memory))
+        need = np.array(self.need)
         asked = need > 0
         return np.maximum(np.floor((free[:, asked] + EPS) / need[asked]).min(axis=1), 0.0)
 
@@ -169,6 +177,13 @@
         return not (self.one_zone or self.spread or self.whole or self.barred)
 
 
+def idle_time(work: Running | JobView, teams: dict[str, Team]) -> bool:
+    """Whether it is there to use what would stand idle: it has the lowest priority, and its team is
+    guaranteed nothing."""
+    team = teams.get(work.team)
+    return work.rank == 0 and (team is None or not (team.cpus or team.gpus))
+
+
 @dataclass(slots=True)
 class Snapshot:
     # In submission order.
@@ -213,7 +228,7 @@
 
     machines: list[MachineView]
     free: Array
-    where: NDArray[np.int64]
+    where: Counts
     after: Array
     frees: Array
 
--- a/spindleglade/backfill/test_planner.py
+++ b/spindleglade/backfill/test_planner.py
@@ -1,7 +1,9 @@
 """Planning rounds: what they may never do, and the order they keep."""
 
+import math
 from dataclasses import replace
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -12,7 +14,12 @@
 from spindleglade.settings import Team
 
 NOW = seconds(1000)
-TEAMS = {"t": Team("t", 16.0, 64.0), "u": Team("u", 8.0, 12.0)}
+TEAMS = {
+    "t": Team("t", 16.0, 64.0),
+    "u": Team("u", 8.0, 12.0),
+    # Neither a guarantee nor a limit.
+    "guest": Team("guest", 0.0, math.inf, 0.0, math.inf),
+}
 
 
 def job(id, cpus=2.0, waiting=1, team="t", estimate=10.0, rank=1, **fields):
@@ -102,6 +109,12 @@
     assert not result.unmet
 
 
+def test_a_team_without_guarantee_and_limit_gets_what_is_free():
+    result = plan([job("job-1", 4.0, waiting=9, team="guest", rank=0)], [machine("n-1"), machine("n-2")])
+    assert len(result.starts) == 4
+    assert [(unmet.count, unmet.guaranteed) for unmet in result.unmet] == [(5, False)]
+
+
 def test_like_tasks_are_refused_as_a_class():
     machines = [machine("n-1", [running(4.0, estimate=5.0)])]
     jobs = [job("job-1", 8.0)] + [job(f"job-{at}", 1.0, waiting=50, estimate=99.0) for at in range(2, 200)]
@@ -292,6 +305,15 @@
     assert [made for made, _ in result] == ["job-1"] * 2 + ["job-2"] * 4 + ["job-1"] * 2
 
 
+def test_a_trial_reserves_and_rents_nothing_unless_it_is_overdue():
+    def result(**fields):
+        return plan([job("job-1", 8.0, trial=True, **fields)], [machine("n-1", [running(4.0)])])
+
+    assert result().head is None and not result().unmet
+    late = result(overdue=True)
+    assert late.head == "job-1" and [unmet.count for unmet in late.unmet] == [1]
+
+
 def test_nothing_outranks_the_reservation_of_an_overdue_job():
     machines = [machine("n-1", [running(4.0, estimate=5.0)])]
     high = job("job-2", 4.0, estimate=99.0, rank=2)
@@ -334,6 +356,18 @@
     assert stops(loses=saved, since=None) == [] and stops(loses=saved, since=NOW - seconds(5)) == []
 
 
+@pytest.mark.parametrize("fields", [{}, {"since": None}, {"since": NOW - seconds(5), "loses": seconds(4)}])
+def test_idle_time_work_gives_its_room_back_at_once(fields):
+    """What cannot save, fetches its image or has just started kept a job of 16 CPUs waiting for 20 s more."""
+
+    def stops(team, rank):
+        views = [machine("n-1", [replace(running(8.0, elapsed=60.0, team=team, rank=rank), **fields)])]
+        return stopped(plan([job("job-1", 2.0, rank=1)], views, preempt="saving"))
+
+    assert stops("guest", 0) == [("n-1", "job-1")]
+    assert stops("guest", 1) == [] and stops("t", 0) == []
+
+
 class EveryMachine(_Round):
     """The plain form: looks closely at each machine where anything may be stopped."""
 
--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -4,20 +4,20 @@
 rented, of the kind that runs it at the least price.
 """
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import NamedTuple
 
 import numpy as np
-from numpy.typing import ArrayLike, NDArray
+from numpy.typing import ArrayLike
 
-from spindleglade.backfill.snapshot import EPS, Freeing, JobView, MachineView, Unmet
+from spindleglade.backfill.arrays import Array
+from spindleglade.backfill.snapshot import Freeing, JobView, MachineView, Unmet
 from spindleglade.fleet.messages import MachineType
 from spindleglade.settings.platform import Team
 
-Array = NDArray[np.float64]
-
 Kind = tuple[str, str, bool]
 
 
@@ -81,7 +81,7 @@
         fits = np.where(suits[self._codes], job.fitting_each(self._free), 0.0)
         before = np.cumsum(fits) - fits
         taken = np.clip(most - before, 0.0, fits)
-        self._free -= taken[:, None] * np.array((job.cpus, job.gpus, job.memory))
+        self._free -= taken[:, None] * np.array(job.need)
         return int(taken.sum())
 
 
@@ -138,7 +138,7 @@
         team = teams.get(job.team)
         if team is None:
             continue
-        left = min(count, int((team.cpus_max - used.get(job.team, 0.0) + EPS) / job.cpus))
+        left = min(count, job.fitting(team.cpus_max - used.get(job.team, 0.0), math.inf))
         took = rooms.take(job, left)
         while took < left and asked < most:
             offer = _cheapest(job, offers, steady, overdue, wanted)
@@ -204,6 +204,12 @@
     def granted(self, kind: Kind) -> None:
         self._pauses.pop(kind, None)
 
+    def given_back(self, kind: Kind, now: timedelta) -> None:
+        """There is one to be had again. Refused once more, it is left alone for longer all the same."""
+        pause = self._pauses.get(kind)
+        if pause is not None:
+            pause.until = min(pause.until, now)
+
     def open(self, kind: Kind, now: timedelta) -> bool:
         pause = self._pauses.get(kind)
         return pause is None or now >= pause.until
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -1,5 +1,6 @@
 """What is rented for waiting work, and how refusals are remembered."""
 
+import math
 from dataclasses import replace
 
 import numpy as np
@@ -10,6 +11,7 @@
 from spindleglade.backfill.snapshot import Freeing, Plan, Unmet
 from spindleglade.backfill.test_planner import job, machine
 from spindleglade.clock import ManualClock, seconds
+from spindleglade.fleet.client import NoCapacity
 from spindleglade.fleet.demand import Offer, Refusals, Room, Rooms, rentals, soon_free
 from spindleglade.fleet.manager import FleetManager
 from spindleglade.fleet.messages import Listed, MachineType
@@ -21,7 +23,7 @@
 SMALL = MachineType("s", 8.0, 32.0, 1.0, 0.3, 20.0, 50.0, 1.0, 0.0, ["a"])
 LARGE = MachineType("l", 32.0, 128.0, 4.2, 1.3, 30.0, 50.0, 1.0, 0.0, ["a"])
 OFFERS = [Offer(kind, "a", spot) for kind in (SMALL, LARGE) for spot in (True, False)]
-TEAMS = {"t": Team("t", 8.0, 64.0)}
+TEAMS = {"t": Team("t", 8.0, 64.0), "guest": Team("guest", 0.0, math.inf, 0.0, math.inf)}
 
 
 def rent(unmet, booting=(), offers=OFFERS, used=0.0, steady=False, overdue=None):
@@ -49,6 +51,10 @@
     assert rent([Unmet(job("job-1", 8.0), 20, False)], used=48.0) == [("s", True, 2)]
 
 
+def test_for_a_team_without_a_limit_all_that_waits_is_counted():
+    assert rent([Unmet(job("job-1", 8.0, team="guest", rank=1), 20, False)]) == [("s", True, 20)]
+
+
 def test_where_readiness_counts_ordinary_machines_come_first():
     assert rent([Unmet(job("job-1", 4.0), 1, False)], steady=True) == [("s", False, 1)]
 
@@ -131,6 +137,61 @@
     assert refusals.open(kind, seconds(34))
 
 
+def test_the_pause_of_a_refused_kind_ends_when_one_is_given_back():
+    """No machine of the other kind comes free by that."""
+
+    class FullCloud(RecordingCloud):
+        async def rent(self, rent):
+            self.asked.append(("rent", clock.now()))
+            raise NoCapacity
+
+        async def release(self, names):
+            self.asked.append(("release", clock.now()))
+
+        async def machines(self):
+            return []
+
+    def just_after_release(spot):
+        fleet = manager(None, True, cloud, clock)
+        fleet._ledger.machines["n-1"] = Machine("n-1", "", "s", "a", spot, heard=clock.now())
+        fleet.demand(Plan(unmet=[Unmet(job("job-1", 4.0), 1, False)]))
+        fleet.start()
+        for _ in range(40):
+            clock.advance(seconds(0.5))
+        fleet.stop()
+        (at,) = [at for what, at in cloud.asked if what == "release"]
+        return [what for what, when in cloud.asked if at <= when <= at + seconds(0.5)]
+
+    clock, cloud = ManualClock(), FullCloud()
+    assert just_after_release(spot=True) == ["release", "rent"]
+    clock, cloud = ManualClock(), FullCloud()
+    assert just_after_release(spot=False) == ["release"]
+
+
+def test_what_an_old_list_shows_as_running_is_no_room_for_long():
+    """It named what the leader before had given back, and nothing was rented until that took too long."""
+
+    class LateCloud(RecordingCloud):
+        async def machines(self):
+            return [Listed("n-1", "x:1", "s", "a", True, stage, 9.0)]
+
+    def rented():
+        clock, cloud = ManualClock(), LateCloud()
+        fleet = manager(None, True, cloud, clock)
+        fleet.start()
+        for _ in range(60):
+            fleet.demand(Plan(unmet=[Unmet(job("job-1", 4.0), 1, False)]))
+            clock.advance(seconds(0.5))
+            if "rent" in cloud.asked:
+                return clock.now()
+        return None
+
+    stage = "running"
+    assert seconds(10) < rented() < seconds(13)
+    stage = "starting"
+    assert rented() is None
+
+
 def test_ordinary_machines_are_rented_only_for_jobs_that_waited_long():
     """While spot machines are all in use there is always some demand; a clock on the demand as a whole once
     rented eight ordinary machines at the end of a quiet day."""
@@ -157,6 +218,31 @@
         return [Listed("n-2", "x:2", "s", "a", True, "failed", 9.0)]
 
 
+def test_no_ordinary_machine_is_rented_for_idle_time_work_however_long_it_waits():
+    class NoSpot(RecordingCloud):
+        async def rent(self, rent):
+            self.asked.append(rent.spot)
+            if rent.spot:
+                raise NoCapacity
+            return []
+
+        async def machines(self):
+            return []
+
+    def asked(team, rank):
+        clock, cloud = ManualClock(), NoSpot()
+        fleet = manager(None, True, cloud, clock)
+        fleet._ledger.teams = TEAMS
+        fleet.start()
+        for _ in range(70):
+            fleet.demand(Plan(unmet=[Unmet(job("job-1", 4.0, team=team, rank=rank), 1, False)]))
+            clock.advance(seconds(10))
+        return set(cloud.asked)
+
+    assert asked("guest", 0) == {True}
+    assert asked("guest", 1) == asked("t", 0) == {True, False}
+
+
 def test_a_zone_that_is_cut_off_comes_last():
     """Its machines were all given up, so it had the fewest, and 70 of 100 were rented behind the cut."""
     offers = [Offer(SMALL, "a", True, 0, cut=True), Offer(SMALL, "b", True, 9)]
