--- a/tests/world.py
+++ b/tests/world.py
@@ -1,6 +1,7 @@
 """A whole deployment in one process on a simulated clock: real nodes among stand-ins, and a network that
 loses, holds back and repeats. Every rule of the protocol is checked at the moment it could be broken."""
 
+import logging
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -125,6 +126,19 @@
     return job["threads"] * job["vcpus"]
 
 
+class Errors(logging.Handler):
+    """What the nodes log as an error: some coroutine or listener broke, which no trouble may bring about."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.found: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        # What a world leaves unfinished is closed when it is collected, maybe while another one runs.
+        if "cannot reuse already awaited coroutine" not in record.getMessage():
+            self.found.append(record.getMessage())
+
+
 class LifeClock:
     """A process's view of the clock: once it is killed, none of its timers runs any more."""
 
@@ -1015,6 +1029,11 @@
                 return True
         return False
 
+    def work(self, team: str) -> timedelta:
+        """How long a team's jobs take at its limit, if each takes as long as it may."""
+        cpu_s = sum(size(job) * 1.5 * job["run_s"] for job in self.jobs.values() if job["crew"] == team)
+        return seconds(cpu_s / self._limit(team))
+
     def _limit(self, team: str) -> float:
         return next(entry["cpus_max"] for entry in self.at.teams if entry["name"] == team)
 
@@ -1042,17 +1061,26 @@
 
     def run(self, length: timedelta, step: timedelta = timedelta(milliseconds=50)) -> None:
         end = self.clock.now() + length
-        while self.clock.now() < end:
-            self.clock.advance(step)
-            self.state.expire()
-            self._look_at_leader()
-            self._look_at_cancelled()
-            self._look_for_idle_room()
-            for job_id, asked in self.asked.items():
-                since = max(self.answered.get(job_id, timedelta(0)), self.calm, self.sent.get(job_id, asked))
-                if asked - since > FORGOTTEN:
-                    self.broken.append(f"forgotten {job_id}: no answer since {since}")
-            assert not self.broken, self.broken
+        errors = Errors()
+        logging.getLogger("spindleglade").addHandler(errors)
+        try:
+            while self.clock.now() < end:
+                self._step(step, errors)
+        finally:
+            logging.getLogger("spindleglade").removeHandler(errors)
+
+    def _step(self, step: timedelta, errors: Errors) -> None:
+        self.clock.advance(step)
+        self.broken += errors.found
+        self.state.expire()
+        self._look_at_leader()
+        self._look_at_cancelled()
+        self._look_for_idle_room()
+        for job_id, asked in self.asked.items():
+            since = max(self.answered.get(job_id, timedelta(0)), self.calm, self.sent.get(job_id, asked))
+            if asked - since > FORGOTTEN:
+                self.broken.append(f"forgotten {job_id}: no answer since {since}")
+        assert not self.broken, self.broken
 
     def _look_at_leader(self) -> None:
         leading = [node.reign.term.token for node in self.nodes.values() if node.leads]
