--- a/spindleglade/settings/platform.py
+++ b/spindleglade/settings/platform.py
@@ -1,5 +1,6 @@
 """The file the platform hands over. Fields we do not know are ignored, those we need are checked."""
 
+import math
 import re
 from datetime import timedelta
 from pathlib import Path
@@ -27,12 +28,22 @@
 
 
 class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee, and what caps its tasks at any moment. 0 means none: no guarantee, no cap."""
+
     name: Name
     cpus: Amount = 0.0
     cpus_max: Amount = 0.0
     gpus: Amount = 0.0
     gpus_max: Amount = 0.0
 
+    @property
+    def cpu_limit(self) -> float:
+        return self.cpus_max or math.inf
+
+    @property
+    def gpu_limit(self) -> float:
+        return self.gpus_max or math.inf
+
 
 class Objective(msgspec.Struct, frozen=True):
     kind: str
--- a/spindleglade/submissions/test_submissions.py
+++ b/spindleglade/submissions/test_submissions.py
@@ -118,6 +118,12 @@
         check_possible(decode_submission(encode(**change)), TEAMS, SHAPES)
 
 
+@pytest.mark.parametrize("change", [{}, {"threads": 100_000}, {"weave": "group", "threads": 1000}])
+def test_a_team_with_a_limit_of_0_has_no_limit(change):
+    """All 795 jobs of a guest team were answered 422."""
+    check_possible(decode_submission(encode(crew="guest", **change)), {"guest": Team("guest")}, SHAPES)
+
+
 @given(st.sets(st.integers(0, 300)))
 def test_runs_hold_the_same_numbers(numbers):
     found = runs(sorted(numbers))
