--- a/spindleglade/backfill/field.py
+++ b/spindleglade/backfill/field.py
@@ -102,7 +102,7 @@
         team = self.teams.get(job.team)
         if team is None:
             return 0
-        cpus, gpus = (team.cpus, team.gpus) if guarantee else (team.cpu_limit, team.gpu_limit)
+        cpus, gpus = (team.cpus, team.gpus) if guarantee else (team.cpus_max, team.gpus_max)
         if not guarantee and not job.overdue and job.team in self.kept:
             cpus, gpus = cpus - self.kept[job.team][0], gpus - self.kept[job.team][1]
         return job.fitting(cpus - self.used_cpus.get(job.team, 0.0), gpus - self.used_gpus.get(job.team, 0.0))
--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -149,8 +149,8 @@
         return (self.cpus, self.gpus, self.memory, self.types, self.zone, self.spot)
 
     def fitting(self, cpus: float, gpus: float, memory: float = math.inf) -> int:
-        """How many of its tasks fit into that, which may be without limit."""
-        most = min(float(self.tasks), (cpus + EPS) / self.cpus)
+        """How many of its tasks fit into that."""
+        most = (cpus + EPS) / self.cpus
         if self.gpus > 0:
             most = min(most, (gpus + EPS) / self.gpus)
         if self.memory > 0:
--- a/spindleglade/submissions/messages.py
+++ b/spindleglade/submissions/messages.py
@@ -88,7 +88,7 @@
     if team is None:
         raise Impossible("unknown team")
     at_once = job.tasks if job.whole else 1
-    if job.cpus * at_once > team.cpu_limit or job.gpus * at_once > team.gpu_limit:
+    if job.cpus * at_once > team.cpus_max or job.gpus * at_once > team.gpus_max:
         raise Impossible("more is needed at once than the team's limit")
     for shape in shapes:
         if (
