Planning and renting take a team without a limit

A guest team has neither guarantee nor limit. Infinite room raised an overflow in a planning round, and renting worked out the room within a limit by hand; it now asks JobView.fitting with no bound on GPUs.

--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -16,6 +16,9 @@
 # Room in CPUs, GPUs and memory comes of sums and differences: what lacks less than this is there.
 EPS = 1e-6
 
+# More tasks than there can be, where nothing bounds their number.
+COUNTLESS = 1e9
+
 
 @dataclass(slots=True)
 class Running:
@@ -149,8 +152,8 @@
         return (self.cpus, self.gpus, self.memory, self.types, self.zone, self.spot)
 
     def fitting(self, cpus: float, gpus: float, memory: float = math.inf) -> int:
-        """How many of its tasks fit into that."""
-        most = (cpus + EPS) / self.cpus
+        """How many of its tasks fit into that, which may be infinite: a team may be without a limit."""
+        most = min(COUNTLESS, (cpus + EPS) / self.cpus)
         if self.gpus > 0:
             most = min(most, (gpus + EPS) / self.gpus)
         if self.memory > 0:
--- a/spindleglade/backfill/test_planner.py
+++ b/spindleglade/backfill/test_planner.py
@@ -1,5 +1,6 @@
 """Planning rounds: what they may never do, and the order they keep."""
 
+import math
 from dataclasses import replace
 
 from hypothesis import given
@@ -12,7 +13,12 @@
 from spindleglade.settings import Team
 
 NOW = seconds(1000)
-TEAMS = {"t": Team("t", 16.0, 64.0), "u": Team("u", 8.0, 12.0)}
+TEAMS = {
+    "t": Team("t", 16.0, 64.0),
+    "u": Team("u", 8.0, 12.0),
+    # Neither a guarantee nor a limit.
+    "guest": Team("guest", 0.0, math.inf, 0.0, math.inf),
+}
 
 
 def job(id, cpus=2.0, waiting=1, team="t", estimate=10.0, rank=1, **fields):
@@ -102,6 +108,12 @@
     assert not result.unmet
 
 
+def test_a_team_without_guarantee_and_limit_gets_what_is_free():
+    result = plan([job("job-1", 4.0, waiting=9, team="guest", rank=0)], [machine("n-1"), machine("n-2")])
+    assert len(result.starts) == 4
+    assert [(unmet.count, unmet.guaranteed) for unmet in result.unmet] == [(5, False)]
+
+
 def test_like_tasks_are_refused_as_a_class():
     machines = [machine("n-1", [running(4.0, estimate=5.0)])]
     jobs = [job("job-1", 8.0)] + [job(f"job-{at}", 1.0, waiting=50, estimate=99.0) for at in range(2, 200)]
--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -4,6 +4,7 @@
 rented, of the kind that runs it at the least price.
 """
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -12,7 +13,7 @@
 import numpy as np
 from numpy.typing import ArrayLike, NDArray
 
-from spindleglade.backfill.snapshot import EPS, Freeing, JobView, MachineView, Unmet
+from spindleglade.backfill.snapshot import Freeing, JobView, MachineView, Unmet
 from spindleglade.fleet.messages import MachineType
 from spindleglade.settings.platform import Team
 
@@ -138,7 +139,7 @@
         team = teams.get(job.team)
         if team is None:
             continue
-        left = min(count, int((team.cpus_max - used.get(job.team, 0.0) + EPS) / job.cpus))
+        left = min(count, job.fitting(team.cpus_max - used.get(job.team, 0.0), math.inf))
         took = rooms.take(job, left)
         while took < left and asked < most:
             offer = _cheapest(job, offers, steady, overdue, wanted)
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -1,5 +1,6 @@
 """What is rented for waiting work, and how refusals are remembered."""
 
+import math
 from dataclasses import replace
 
 import numpy as np
@@ -21,7 +22,7 @@
 SMALL = MachineType("s", 8.0, 32.0, 1.0, 0.3, 20.0, 50.0, 1.0, 0.0, ["a"])
 LARGE = MachineType("l", 32.0, 128.0, 4.2, 1.3, 30.0, 50.0, 1.0, 0.0, ["a"])
 OFFERS = [Offer(kind, "a", spot) for kind in (SMALL, LARGE) for spot in (True, False)]
-TEAMS = {"t": Team("t", 8.0, 64.0)}
+TEAMS = {"t": Team("t", 8.0, 64.0), "guest": Team("guest", 0.0, math.inf, 0.0, math.inf)}
 
 
 def rent(unmet, booting=(), offers=OFFERS, used=0.0, steady=False, overdue=None):
@@ -49,6 +50,10 @@
     assert rent([Unmet(job("job-1", 8.0), 20, False)], used=48.0) == [("s", True, 2)]
 
 
+def test_for_a_team_without_a_limit_all_that_waits_is_counted():
+    assert rent([Unmet(job("job-1", 8.0, team="guest", rank=1), 20, False)]) == [("s", True, 20)]
+
+
 def test_where_readiness_counts_ordinary_machines_come_first():
     assert rent([Unmet(job("job-1", 4.0), 1, False)], steady=True) == [("s", False, 1)]
 
