A team's limit of 0 becomes none where the settings are read

So that nobody who asks for a limit has to know of the 0: planner, renting and the check of submissions read it as it is.

--- a/spindleglade/settings/platform.py
+++ b/spindleglade/settings/platform.py
@@ -28,7 +28,7 @@
 
 
 class Team(msgspec.Struct, frozen=True):
-    """A team's guarantee, and what caps its tasks at any moment. 0 means none: no guarantee, no cap."""
+    """A team's guarantee, and what caps its tasks at any moment."""
 
     name: Name
     cpus: Amount = 0.0
@@ -36,13 +36,11 @@
     gpus: Amount = 0.0
     gpus_max: Amount = 0.0
 
-    @property
-    def cpu_limit(self) -> float:
-        return self.cpus_max or math.inf
-
-    @property
-    def gpu_limit(self) -> float:
-        return self.gpus_max or math.inf
+    def __post_init__(self) -> None:
+        # A limit of 0 means none. Taken as one that nothing fits under, it refused all that a guest sent.
+        for limit in ("cpus_max", "gpus_max"):
+            if getattr(self, limit) == 0:
+                msgspec.structs.force_setattr(self, limit, math.inf)
 
 
 class Objective(msgspec.Struct, frozen=True):
--- a/spindleglade/settings/test_settings.py
+++ b/spindleglade/settings/test_settings.py
@@ -1,6 +1,7 @@
 """Both settings files, good and bad."""
 
 import json
+import math
 
 import pytest
 from hypothesis import given
@@ -64,6 +65,13 @@
     assert loaded.nodes == 2 and loaded.teams["t"].cpus_max == 8.0 and loaded.soonest_start is None
 
 
+@pytest.mark.parametrize("limits", [{}, {"cpus_max": 0.0, "gpus_max": 0}, {"cpus_max": 0, "gpus_max": 2.0}])
+def test_a_limit_of_0_is_none(tmp_path, limits):
+    teams = [{"name": "guest", "cpus": 0.0, **limits}]
+    guest = load_platform(write(tmp_path, changed(("params", "teams"), teams))).teams["guest"]
+    assert (guest.cpus, guest.cpus_max, guest.gpus_max) == (0.0, math.inf, limits.get("gpus_max") or math.inf)
+
+
 @pytest.mark.parametrize("path", PATHS)
 @pytest.mark.parametrize("value", [None, True, -1, [], {}, "", 1e300])
 def test_a_bad_value_names_its_field(tmp_path, path, value):
