--- a/spindleglade/settings/platform.py
+++ b/spindleglade/settings/platform.py
@@ -1,5 +1,6 @@
 """The file the platform hands over. Fields we do not know are ignored, those we need are checked."""
 
+import math
 import re
 from datetime import timedelta
 from pathlib import Path
@@ -27,12 +28,20 @@
 
 
 class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee, and what caps its tasks at any moment."""
+
     name: Name
     cpus: Amount = 0.0
     cpus_max: Amount = 0.0
     gpus: Amount = 0.0
     gpus_max: Amount = 0.0
 
+    def __post_init__(self) -> None:
+        # A limit of 0 means none. Taken as one that nothing fits under, it refused all that a guest sent.
+        for limit in ("cpus_max", "gpus_max"):
+            if getattr(self, limit) == 0:
+                msgspec.structs.force_setattr(self, limit, math.inf)
+
 
 class Objective(msgspec.Struct, frozen=True):
     kind: str
