--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -34,8 +34,8 @@
     # "distributions" is the design; "estimates" is plain EASY, kept for comparison.
     predictor: Literal["distributions", "estimates"] = "distributions"
     # For whom running work is stopped: nobody; higher priorities, but only work that can save what it has
-    # done, and idle-time work; teams that claim their guarantee; or both these and higher priorities, whatever
-    # work it is.
+    # done, and idle-time work; teams that claim their guarantee; or both these and higher priorities,
+    # whatever work it is.
     preempt: Literal["none", "saving", "guarantees", "all"] = "saving"
     # How long a job may go without a start before some of its tasks go before all others and room is held for
     # them. Well under the four minutes within which even the largest shall begin.
