Recorder: a generated story of leaders, late and lost transactions, aborts and ends

Real ledgers, recorders and readings at take-over over the stand-in of the state service, whose transactions are answered, slow, refused, carried out unanswered, or carried out later than newer ones. Checked throughout: a task on one machine at most, no attempt given twice, final records stay, done only if all is done; at the end: the store holds what the ledger says, all jobs end, no chunk is left. Also: an abort at the end of the last task is not written over.

--- a/spindleglade/workers/test_recorder.py
+++ b/spindleglade/workers/test_recorder.py
@@ -2,16 +2,34 @@
 
 import msgspec
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from twisted.internet.defer import Deferred
 
 from spindleglade.backfill.snapshot import Plan, Start
 from spindleglade.clock import ManualClock, seconds
 from spindleglade.leadership.election import LEADER, Term
+from spindleglade.reign import Reign
+from spindleglade.settings import OperatorSettings
 from spindleglade.settings.platform import StateLimits
-from spindleglade.store.client import Committed, Entry, Put, Refused, Unavailable, Unknown, raw
-from spindleglade.submissions.records import JobRecord, chunk_key, job_key
-from spindleglade.workers.messages import Report
+from spindleglade.store.client import (
+    Committed,
+    Entry,
+    Put,
+    Refused,
+    StateClient,
+    Unavailable,
+    Unknown,
+    raw,
+)
+from spindleglade.submissions.records import JOBS, TASKS, Chunk, JobRecord, chunk_key, job_key
+from spindleglade.web import NoAnswer, Response
+from spindleglade.workers.messages import Report, TaskReport
 from spindleglade.workers.recorder import Recorder
 from spindleglade.workers.test_ledger import TOKEN, make_ledger, spec
+from tests.standins import StateService
+from tests.world import Deployment, platform
 
 
 class Store:
@@ -105,6 +123,20 @@
     assert "job-1" not in ledger.jobs and not deposed and len(store.sizes) == 1
 
 
+def test_an_abort_at_the_end_of_the_last_task_is_not_written_over():
+    """The user was told that the job is cancelled; the leader has just seen its last task done."""
+    store = Store()
+    ledger, clock = make_ledger(), ManualClock()
+    ledger.take_job(JobRecord("open", spec(tasks=1), 256), 1)
+    ledger.load_chunk("job-1", 0, Chunk(done=[(0, 0)]), clock.now())
+    ledger.loaded()
+    store.marks[job_key("job-1")] = 9
+    store.values[job_key("job-1")] = raw(JobRecord("aborted", spec(tasks=1), 256))
+    Recorder(ledger, store, clock, Term(TOKEN, 5, 1), {}, lambda: None, lambda reason: None).start()
+    clock.advance(seconds(1))
+    assert store.marks[job_key("job-1")] == 9 and not ledger.jobs
+
+
 def finished_elsewhere():
     """A ledger with a start that waits for its record while the record says that the job is done."""
     ledger, clock = make_ledger(), ManualClock()
@@ -131,3 +163,224 @@
     assert list(ledger.collect(9, {}).over) == ["job-1"]
     ledger.forget("job-1")
     assert not ledger.jobs
+
+
+class Line:
+    """The way of one leader's requests to the state service, each with a fate drawn beforehand: answered,
+    answered slowly, refused, carried out but not answered, or neither, and carried out when it lands."""
+
+    def __init__(self, story):
+        self.story = story
+
+    async def request(self, method, address, path, body=None, timeout=None):
+        story = self.story
+        fate = story.fates.pop(0) if story.fates else "ok"
+        if fate == "refused":
+            return Response(503, b"{}")
+        if fate == "late":
+            if method == "POST":
+                story.late.append((method, path, body))
+            raise NoAnswer("timed out")
+        answer = Response(*story.service.handle(method, path, body or b""))
+        if fate == "answer lost":
+            raise NoAnswer("timed out")
+        if fate == "slow":
+            waiter = Deferred()
+            story.clock.later(seconds(1), waiter.callback, None)
+            await waiter
+        return answer
+
+
+ANY_JOB, ANY_MACHINE = st.sampled_from(["job-1", "job-2"]), st.sampled_from(["n-1", "n-2"])
+
+
+INDICES = st.sets(st.integers(0, 4), min_size=1)
+FATES = st.lists(st.sampled_from(["ok", "slow", "refused", "answer lost", "late"]), max_size=5)
+
+
+class RecordsStory(RuleBasedStateMachine):
+    """Leaders that follow one another, their recorders, a state service that answers late, never or not the
+    leader, users who abort, and workers who do as they are told. However it goes: a task is on one machine at
+    most, final records stay, done is only what is done, and in the end all is done, and nothing left over."""
+
+    SIZES = {"job-1": 5, "job-2": 1}
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.service = StateService(self.clock)
+        self.fates, self.late, self.told = [], [], 0
+        self.machines = {name: {} for name in ("n-1", "n-2")}
+        self.sessions = dict.fromkeys(self.machines, 1)
+        self.tallies = dict.fromkeys(self.machines, 0)
+        self.tokens = dict.fromkeys(self.machines, 0)
+        self.done, self.given, self.final = set(), {}, {}
+        self.token, self.recorder = 0, None
+        for job, tasks in self.SIZES.items():
+            self.write(job_key(job), JobRecord("open", spec(job, tasks), 2))
+        self.lead()
+
+    def write(self, key, value):
+        self.service._write([{"set": key, "v": msgspec.json.decode(msgspec.json.encode(value))}])
+
+    def stored(self, prefix):
+        return {key: value for key, (value, _, _) in self.service.keys.items() if key.startswith(prefix)}
+
+    def entries(self):
+        return [Entry(key, raw(value), mark) for key, (value, mark, _) in sorted(self.service.keys.items())]
+
+    def lead(self):
+        if self.recorder is not None:
+            self.recorder.stop()
+        self.token += 1
+        self.write(LEADER, {})
+        term = Term(self.token, self.service.turn, 1)
+        client = StateClient(Line(self), "", self.clock, StateLimits(1e4, 1e4, 16.0, 12), 1, seconds(1))
+        reign = Reign(term, platform(0, Deployment()), OperatorSettings(), self.clock, *[None] * 7)
+        self.ledger = make_ledger()
+        self.ledger.token = self.token
+        marks = reign._read(self.ledger, self.entries(), self.clock.now())
+        self.ledger.loaded()
+        self.deposed = []
+        self.recorder = Recorder(
+            self.ledger, client, self.clock, term, marks, lambda: None, self.deposed.append
+        )
+        self.recorder.start()
+
+    @rule(length=st.sampled_from([0.01, 0.2, 0.7, 2.0]))
+    def wait(self, length):
+        self.recorder.wake()
+        self.clock.advance(seconds(length))
+
+    @rule(at=st.integers(0, 3))
+    def land(self, at):
+        if self.late:
+            self.service.handle(*self.late.pop(min(at, len(self.late) - 1)))
+
+    @rule(most=st.integers(1, 4))
+    def tell(self, most):
+        """What the replica shows next; it may be behind what the leader has read."""
+        changes = [change for change in self.service.log if change.get("set", "").startswith(JOBS)]
+        for change in changes[self.told : self.told + most]:
+            record = msgspec.convert(change["v"], JobRecord)
+            self.ledger.take_job(record, change["mark"], self.clock.now())
+            self.told += 1
+        self.recorder.wake()
+
+    @rule(machine=ANY_MACHINE)
+    def report(self, machine):
+        self.tallies[machine] += 1
+        tasks = [TaskReport(*key, *how) for key, how in self.machines[machine].items()]
+        report = Report(
+            machine, "x:1", "m", "z", True, self.sessions[machine], self.tallies[machine],
+            self.tokens[machine], tasks,
+        )  # fmt: skip
+        orders = self.ledger.report(report, self.clock.now(), True)
+        self.tokens[machine] = self.token
+        for order in orders:
+            key, there = (order.task, order.attempt), self.machines[machine]
+            if order.verb == "start" and key not in there:
+                assert self.given.setdefault(key, machine) == machine, "an attempt given twice"
+                there[key] = ("exited", "done") if order.task in self.done else ("running",)
+            elif order.verb == "stop" and there.get(key) == ("running",):
+                there[key] = ("exited", "halted")
+            elif order.verb == "clear" and key in there:
+                assert there[key][0] == "exited"
+                del there[key]
+        self.recorder.wake()
+
+    @rule(job=ANY_JOB, indices=INDICES, to=ANY_MACHINE, fates=FATES)
+    def place(self, job, indices, to, fates):
+        # The first report may be the one by which the machine hears of this leader.
+        self.report(to)
+        self.report(to)
+        self.fates = fates
+        if job in self.ledger.jobs:
+            starts = [Start(job, index, to) for index in sorted(indices) if index < self.SIZES[job]]
+            self.ledger.apply(Plan(starts=starts), self.clock.now())
+            self.wait(0.01)
+            self.report(to)
+
+    @rule(machine=ANY_MACHINE, fates=FATES, most=st.integers(1, 3))
+    def tasks_end(self, machine, fates, most):
+        running = [key for key, how in self.machines[machine].items() if how == ("running",)]
+        for key in running[:most]:
+            self.machines[machine][key] = ("exited", "done")
+            self.done.add(key[0])
+        if running:
+            self.fates = fates
+            self.report(machine)
+
+    @rule(machine=ANY_MACHINE)
+    def lease_ends(self, machine):
+        self.machines[machine].clear()
+        self.sessions[machine] += 1
+        self.tallies[machine] = 0
+
+    @rule(job=ANY_JOB, chance=st.integers(0, 3))
+    def abort(self, job, chance):
+        if chance < 3:
+            return
+        record = msgspec.convert(self.service.keys[job_key(job)][0], JobRecord)
+        if record.stage == "open":
+            self.write(job_key(job), JobRecord("aborted", record.spec, record.chunk))
+
+    @rule(chance=st.integers(0, 3))
+    def another_leads(self, chance):
+        if chance == 3:
+            self.lead()
+
+    @invariant()
+    def a_task_is_on_one_machine_at_most(self):
+        running = [
+            task
+            for there in self.machines.values()
+            for (task, _), how in there.items()
+            if how == ("running",)
+        ]
+        assert len(running) == len(set(running)), running
+
+    @invariant()
+    def what_is_final_stays_and_is_true(self):
+        for job, tasks in self.SIZES.items():
+            stage = self.service.keys[job_key(job)][0]["stage"]
+            assert self.final.setdefault(job, stage) == stage if stage != "open" else job not in self.final
+            if stage == "done":
+                assert all(f"{job}/{index}" in self.done for index in range(tasks))
+
+    def settle(self):
+        for _ in range(3):
+            while self.late:
+                self.land(0)
+            self.tell(9)
+            for machine in self.machines:
+                self.report(machine)
+            self.wait(2.0)
+
+    def teardown(self):
+        self.fates = []
+        self.settle()
+        assert not self.deposed
+        for job in self.ledger.jobs.values():
+            for number in range((len(job.state) - 1) // job.chunk + 1):
+                stored = self.stored(chunk_key(job.id, number)).get(chunk_key(job.id, number))
+                assert (
+                    None if stored is None else msgspec.json.decode(raw(stored), type=Chunk)
+                ) == job.encode(number)
+        for _ in range(3):
+            for job in list(self.ledger.jobs.values()):
+                self.place(job.id, job.waiting(9), "n-1", [])
+            self.settle()
+            for machine in self.machines:
+                self.tasks_end(machine, [], 9)
+            self.settle()
+            self.what_is_final_stays_and_is_true()
+        # A record of a job that was over before may have come late; whoever leads next clears it away.
+        self.lead()
+        self.settle()
+        assert self.final.keys() == self.SIZES.keys() and not self.stored(TASKS) and not self.ledger.jobs
+        assert not any(self.machines.values())
+
+
+TestRecordsStory = RecordsStory.TestCase
+TestRecordsStory.settings = settings(max_examples=300, stateful_step_count=100)
