--- a/spindleglade/leadership/links.py
+++ b/spindleglade/leadership/links.py
@@ -85,7 +85,11 @@
 
 
 def decode_message(data: bytes) -> Message:
-    return _decoder.decode(data)
+    """Raises msgspec.DecodeError on anything malformed."""
+    try:
+        return _decoder.decode(data)
+    except RecursionError:
+        raise msgspec.DecodeError("nested too deeply") from None
 
 
 class LinkDown(Exception):
--- a/spindleglade/leadership/test_leadership.py
+++ b/spindleglade/leadership/test_leadership.py
@@ -49,6 +49,11 @@
     assert data[:1] in (b"\x92", b"\x93", b"\x94", b"\x95", b"\x96", b"\x97", b"\x98", b"\x99")
 
 
+def test_a_message_nested_too_deeply_is_malformed():
+    with pytest.raises(msgspec.DecodeError):
+        decode_message(msgspec.msgpack.encode(["ping"])[:1] + b"\xa4ping" + b"\x91" * 100_000)
+
+
 def test_a_sibling_of_the_version_before_is_understood_and_states_nothing():
     ping = decode_message(msgspec.msgpack.encode(["ping", "node-1", 3, True, 12, 40]))
     assert (ping.node, ping.workers, ping.process, ping.aborts) == ("node-1", 40, "", None)
