--- a/spindleglade/backfill/preempting.py
+++ b/spindleglade/backfill/preempting.py
@@ -70,8 +70,9 @@
     def _stoppable(self, task: Running) -> bool:
         """Where only work that can save is stopped, it must also have run for a while: else it would run in
         circles, fetching its image and saving by turns. Idle-time work has its room only until others need
-        it: what had just started, or still fetched its image, kept them waiting for 20 s and more."""
-        if self.preempt != "saving" or idle_time(task, self.teams):
+        it: what had just started, or still fetched its image, kept them waiting for 20 s and more. What was
+        started because its job was overdue is not taken back at once: it would never begin."""
+        if self.preempt != "saving" or (idle_time(task, self.teams) and not task.owed):
             return True
         return task.loses is not None and task.since is not None and self.now - task.since >= _RUN_BEFORE_STOP
 
--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -36,6 +36,8 @@
     loses: timedelta | None = None
     # Whether it is being stopped already.
     stopping: bool = False
+    # It was started because its job was overdue.
+    owed: bool = False
 
 
 @dataclass(slots=True)
--- a/spindleglade/backfill/test_planner.py
+++ b/spindleglade/backfill/test_planner.py
@@ -366,6 +366,9 @@
 
     assert stops("guest", 0) == [("n-1", "job-1")]
     assert stops("guest", 1) == [] and stops("t", 0) == []
+    # Started because its job had waited too long: taken back at once it would never begin.
+    fields["owed"] = True
+    assert stops("guest", 0) == []
 
 
 class EveryMachine(_Round):
--- a/spindleglade/workers/attempts.py
+++ b/spindleglade/workers/attempts.py
@@ -64,6 +64,8 @@
     loaded: bool = False
     # A start of it went straight to the machine: a copy of that message may come again.
     direct: bool = False
+    # It was started because its job was overdue.
+    owed: bool = False
     # Why it is to stop, and with how much time to save.
     stop: str | None = None
     slack: float = 0.0
--- a/spindleglade/workers/placing.py
+++ b/spindleglade/workers/placing.py
@@ -106,6 +106,7 @@
     def apply(self, plan: Plan, now: timedelta) -> int:
         """Takes over a plan as far as it still holds; the starts wait for their record."""
         placed = 0
+        owed: dict[str, bool] = {}
         with self.lock:
             for start in plan.starts:
                 job, machine = self.jobs.get(start.job), self.machines.get(start.machine)
@@ -119,6 +120,7 @@
                     continue
                 attempt = job.attempts.get(start.index, 0) + 1
                 job.attempts[start.index] = attempt
+                late = owed.setdefault(job.id, now - job.hungry >= self.rules.patience)
                 job.hungry = now
                 self._changed(job, start.index)
                 self.starting[(job.id, start.index // job.chunk)] = None
@@ -131,6 +133,7 @@
                     machine.session,
                     job.versions[start.index // job.chunk],
                     now,
+                    owed=late,
                 )
                 job.state[start.index] = PLACED
                 job.placed[start.index] = assignment
--- a/spindleglade/workers/test_ledger.py
+++ b/spindleglade/workers/test_ledger.py
@@ -122,6 +122,16 @@
     assert view.open and view.free_cpus == 8.0
 
 
+def test_what_an_overdue_job_gets_is_owed_to_it_and_nothing_after_it():
+    book = Book()
+    book.report()
+    book.ledger.jobs["job-1"].hungry = book.now - RULES.patience
+    book.place()
+    book.place(1)
+    tasks = {task.index: task.owed for task in book.ledger.snapshot(book.now).machines[0].tasks}
+    assert tasks == {0: True, 1: False}
+
+
 def test_a_start_waits_for_its_record():
     book = Book()
     book.report()
--- a/spindleglade/workers/views.py
+++ b/spindleglade/workers/views.py
@@ -32,6 +32,7 @@
                 since,
                 timedelta(seconds=spec.save_s) if spec.checkpoint_s > 0 else None,
                 assignment.stop is not None,
+                assignment.owed,
             )
         )
     return MachineView(
