--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -338,7 +338,7 @@
 def test_every_team_is_at_its_limit_while_cancelled_work_cannot_be_reached(seed, how):
     """And the leader changes. What is not proven gone counts: World checks the limits at each start."""
     teams = tuple({"name": name, "cpus": 8.0, "cpus_max": 12.0} for name in ("red", "blue"))
-    world = World(400 + seed, deployment=Deployment(capacity=8, teams=teams))
+    world = World(400 + seed, deployment=Deployment(capacity=8, teams=teams, lease=seconds(12)))
     world.run(seconds(3))
     jobs = [
         world.submit(number, crew=crew, threads=8, vcpus=2.0, run_s=25.0, knot_s=2.0)
@@ -357,11 +357,11 @@
     if seed < 2:
         world.abort(jobs[0])
         world.abort(jobs[1])
-        world.run(seconds(world.rng.uniform(0, 2)))
-        world.restart(world.leader(), seconds(2))
+        world.run(seconds(world.rng.uniform(0, 5)))
+        world.restart(world.leader(), seconds(0.3))
     else:
         # The cancellation falls into the spell in which the new leader cannot ask.
-        world.restart(world.leader(), seconds(2))
+        world.restart(world.leader(), seconds(0.3))
         world.run(seconds(1.5))
         world.abort(jobs[0])
         world.abort(jobs[1])
