--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -60,6 +60,12 @@
     world.check_day()
 
 
+def assert_none_began_twice(world, jobs):
+    """What ran went on: no lease was lost that somebody could renew."""
+    again = {job: world.starts[f"{job}/0"] for job in jobs if world.starts[f"{job}/0"] > 1}
+    assert not again, again
+
+
 def address(world, name):
     return world.workers[name].machine.address
 
@@ -290,7 +296,7 @@
     """Workers and users still reach it, and jobs are cancelled through the new leader."""
     world = World(360 + seed, deployment=Deployment(capacity=8, teams=ROOMY))
     world.run(seconds(3))
-    running(world, 10, vcpus=2.0, run_s=70.0)
+    jobs = running(world, 10, vcpus=2.0, run_s=70.0)
     busy(world, 20, cancelled=0.3)
     world.run(seconds(3))
     old = world.leader()
@@ -306,6 +312,7 @@
     world.run(seconds(40))
     assert len(world.aborted_at) >= 6
     settle(world, 150)
+    assert_none_began_twice(world, jobs)
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -314,7 +321,7 @@
     """For a moment, or for longer than a lease; one is back within a second and hands over again."""
     world = World(380 + seed, deployment=Deployment(capacity=8, teams=ROOMY))
     world.run(seconds(3))
-    running(world, 6, vcpus=2.0, run_s=20.0)
+    jobs = running(world, 6, vcpus=2.0, run_s=20.0)
     busy(world, 40, cancelled=0.3)
     world.run(seconds(6))
     for at in range(3):
@@ -328,6 +335,8 @@
         world.restart(at, seconds(world.rng.uniform(0.05, 0.8)))
         world.run(seconds(0.7))
     settle(world, 90)
+    if away < 1:
+        assert_none_began_twice(world, jobs)
 
 
 # Limits.
@@ -443,7 +452,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_a_zone_with_workers_and_a_controller_is_cut_off_for_longer_than_a_lease(seed):
-    """Its work goes on, and what users cancel meanwhile ends in time."""
+    """What users cancel meanwhile ends in time, and nothing runs twice."""
     world = World(520 + seed, deployment=Deployment(capacity=8, teams=ROOMY))
     world.run(seconds(3))
     running(world, 10, vcpus=2.0, run_s=30.0)
--- a/tests/world.py
+++ b/tests/world.py
@@ -370,6 +370,7 @@
         self.began: dict[str, timedelta] = {}
         self.latest_start: dict[str, timedelta] = {}
         self.started = 0
+        self.starts: Counter[str] = Counter()
         self.completed: set[str] = set()
         # Starts after a confirmed cancellation that came within `cancel_s`.
         self.started_late: list[str] = []
@@ -799,6 +800,7 @@
 
     def _task_on(self, machine: str, task: str) -> None:
         self.started += 1
+        self.starts[task] += 1
         job_id = task.rpartition("/")[0]
         job, now = self.jobs[job_id], self.clock.now()
         self.on.setdefault(task, set()).add(machine)
