--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -544,17 +544,17 @@
     assert world.state.too_many < 50
 
 
-@pytest.mark.parametrize("seed", range(2))
-def test_more_work_than_room_over_slow_links(seed):
-    """Urgent and not. The urgent goes first, and the rest still begins in time."""
-    world = World(620 + seed, deployment=Deployment(capacity=5, teams=ROOMY))
+def test_more_work_than_room_over_slow_links():
+    """Urgent and not, for five minutes. The largest jobs are the least urgent; they begin in time all the
+    same, and every class and team is served."""
+    world = World(620, deployment=Deployment(capacity=5, teams=ROOMY))
     world.run(seconds(3))
-    world.during(seconds(100), "slow_links", seconds(0.4))
-    busy(world, 90, every=1.0, cancelled=0.1)
-    for number in range(6):
+    world.during(seconds(300), "slow_links", seconds(0.4))
+    for number in range(4):
         fields = {"threads": 2, "vcpus": 8.0, "run_s": 6.0, "urgency": "best_effort", "bobbin": "large"}
         world.clock.later(
             seconds(10 + number * 5), lambda n=number, f=fields: world.watch(world.submit(500 + n, **f))
         )
-    world.run(seconds(100))
-    settle(world, 200)
+    busy(world, 170, every=1.7, cancelled=0.1, urgency="critical", threads=3, vcpus=3.0, run_s=8.0)
+    world.run(seconds(300))
+    settle(world, 300)
--- a/tests/world.py
+++ b/tests/world.py
@@ -1001,7 +1001,8 @@
             job: self.began.get(job, self.clock.now() + seconds(240)) - self.sent[job]
             for job in largest - self.asked_abort
         }
-        assert max(waits.values(), default=timedelta(0)) < seconds(240), waits
+        late = {job: wait for job, wait in waits.items() if wait >= seconds(240)}
+        assert not late, late
 
     def _room(self) -> tuple[list[tuple[Machine, float, float]], Counter]:
         """What each machine that is well has free, and the CPUs that each team holds."""
