--- a/spindleglade/workers/test_recorder.py
+++ b/spindleglade/workers/test_recorder.py
@@ -236,7 +236,7 @@
         self.write(LEADER, {})
         term = Term(self.token, self.service.turn, 1)
         client = StateClient(Line(self), "", self.clock, StateLimits(1e4, 1e4, 16.0, 12), 1, seconds(1))
-        reign = Reign(term, platform(0, Deployment()), OperatorSettings(), self.clock, *[None] * 7)
+        reign = Reign(term, platform(0, Deployment()), OperatorSettings(), self.clock, *[None] * 8)
         self.ledger = make_ledger()
         self.ledger.token = self.token
         marks = reign._read(self.ledger, self.entries(), self.clock.now())
