Trials: only the job that failed, and one that fits no machine there is rented for

A good job that had failed on two machines by bad luck waited up to two minutes if no machine was there that it fits, since nothing was rented for its trial: found by test_no_rule_is_broken_whatever_fails.

--- a/spindleglade/backfill/field.py
+++ b/spindleglade/backfill/field.py
@@ -142,6 +142,11 @@
                     free[at] -= np.multiply(other.need, count)
         return free
 
+    def _has_place(self, job: JobView) -> bool:
+        """Whether a task of the job fits a machine that is there, were it empty."""
+        machines = (self.machines[at] for at in np.nonzero(self._allowed(job))[0])
+        return any(job.fitting(machine.cpus, machine.gpus, machine.memory) for machine in machines)
+
     def _fits(self, job: JobView) -> Counts:
         """How many tasks of the job each machine has room for."""
         fits = job.fitting_each(self._unclaimed(job))
--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -82,8 +82,9 @@
         else:
             placed = 0
         rest = wanted - placed
-        # Room is neither reserved nor rented to see a job fail once more, unless it waits too long for it.
-        if rest and (job.overdue or not job.trial):
+        # Room is neither reserved nor rented to see a job fail once more, unless it waits too long for it or
+        # no machine there could ever take it.
+        if rest and (job.overdue or not job.trial or not self._has_place(job)):
             self.plan.unmet.append(Unmet(job, rest, self._within(job, guarantee=True)))
             if job.overdue:
                 self._hold(job, rest)
--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -34,7 +34,8 @@
     # "distributions" is the design; "estimates" is plain EASY, kept for comparison.
     predictor: Literal["distributions", "estimates"] = "distributions"
     # For whom running work is stopped: nobody; higher priorities, but only work that can save what it has
-    # done, and idle-time work; teams that claim their guarantee; or both these and higher priorities, whatever work it is.
+    # done, and idle-time work; teams that claim their guarantee; or both these and higher priorities,
+    # whatever work it is.
     preempt: Literal["none", "saving", "guarantees", "all"] = "saving"
     # How long a job may go without a start before some of its tasks go before all others and room is held for
     # them. Well under the four minutes within which even the largest shall begin.
@@ -76,8 +77,8 @@
     hold_guarantees: Annotated[float, msgspec.Meta(ge=0, le=10)] = 1.0
     # A machine that has not reported after this many times its nominal boot time is given up.
     boot_patience: Annotated[float, msgspec.Meta(ge=1, le=100)] = 2.5
-    # First pause after a refusal for lack of capacity, doubled each time up to the second figure. It ends when
-    # a machine of that kind is given back.
+    # First pause after a refusal for lack of capacity, doubled each time up to the second figure. It ends
+    # when a machine of that kind is given back.
     refused_s: Seconds = 4.0
     refused_most_s: Seconds = 30.0
     list_s: Seconds = 4.0
--- a/spindleglade/workers/placing.py
+++ b/spindleglade/workers/placing.py
@@ -1,7 +1,6 @@
 """What planning sees of the book, and the taking over of its plans."""
 
 import logging
-from collections import Counter
 from datetime import timedelta
 
 from spindleglade.backfill.snapshot import Plan, Snapshot
@@ -13,12 +12,6 @@
 log = logging.getLogger("spindleglade.workers")
 
 
-def _kind(job: Job) -> tuple:
-    """Jobs with the same key share their mistakes."""
-    spec = job.spec
-    return (spec.team, spec.job_class, spec.cpus, spec.gpus, spec.memory_gb)
-
-
 class Placing(Book):
     def learn_kinds(self, kinds: dict[str, MachineKind]) -> None:
         """What the cloud says of the machine types. A machine that reported before they were known was kept
@@ -62,32 +55,25 @@
                     self._bar(machine, barred)
             room = max((kind.cpus for kind in self.kinds.values()), default=0.0)
             jobs = []
-            doubted = self._doubted()
             for job in sorted(self.jobs.values(), key=lambda job: job.order):
                 if not job.open or job.not_before > now or job.done + len(job.placed) >= len(job.state):
                     continue
                 if job.spec.kind == "group" and job.placed:
                     continue
                 overdue = now - job.hungry >= self.rules.patience
-                trial = self._on_trial(job, doubted, now)
+                trial = self._on_trial(job, now)
                 if trial and job.placed:
                     continue
                 jobs.append(job_view(job, self.machines, room * 64, overdue, barred.get(job.id, {}), trial))
             return Snapshot(jobs, machines, self.teams, self.predictor.copy(), now, self.ordinary_first)
 
-    def _doubted(self) -> Counter[tuple]:
-        """How many jobs of each kind have failed on several machines and had no task done since."""
-        return Counter(_kind(job) for job in self.jobs.values() if job.open and job.backoff)
-
-    def _on_trial(self, job: Job, doubted: Counter[tuple], now: timedelta) -> bool:
-        """A job in doubt, or one like several that are, was probably submitted with a mistake: it fails on
-        every machine until its user cancels it. Then one task at a time shows how it is; a task that has run
-        for longer than the pause before it shows that the others may start as well."""
-        if not job.backoff and (job.done or doubted[_kind(job)] < self.rules.faulty_jobs):
-            return False
-        needed = max(job.backoff, self.rules.backoff)
-        return not any(
-            assignment.stage == "running" and now - (assignment.since or assignment.placed_at) > needed
+    @staticmethod
+    def _on_trial(job: Job, now: timedelta) -> bool:
+        """A job that has failed on several machines and had no task done since was probably submitted with a
+        mistake: it fails on every machine until its user cancels it. One task at a time shows how it is; one
+        that has run for longer than the pause before it shows that the others may start as well."""
+        return job.backoff > timedelta(0) and not any(
+            assignment.stage == "running" and now - (assignment.since or assignment.placed_at) > job.backoff
             for assignment in job.placed.values()
         )
 
