Recorder: an unanswered chunk is not left behind by an abort; each is removed once

A chunk whose write had no answer was taken for not written, so that of a job aborted meanwhile stayed in the store for good: no lease was renewed by a node on its own for its machine's session, and the next leader counted it. And each dirty chunk of a job that is over asked for the removal of all its chunks.

--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -1,8 +1,7 @@
 """Writes the ledger's chunks in group commits, each conditional on the leader key.
 
 One transaction is under way at a time. Every chunk is conditional on its own mark as well: a transaction
-whose
-answer was lost may be applied late, and must not undo a newer one.
+whose answer was lost may be applied late, and must not undo a newer one.
 """
 
 import logging
@@ -52,7 +51,7 @@
         self._client = client
         self._clock = clock
         self._term = term
-        # Marks of the chunks in the store.
+        # Marks of the chunks in the store; 0 for one that may be there, its write being unanswered.
         self._marks = marks
         self._committed = committed
         self._deposed = deposed
@@ -91,6 +90,10 @@
                 result = await self._write(batch)
             except (Unavailable, Unknown) as error:
                 log.info("record delayed size=%d reason=%s", batch.size, error)
+                if isinstance(error, Unknown):
+                    for job, _, number, _, _ in batch.chunks:
+                        # It may be there. Else that of a job aborted meanwhile would be left in the store.
+                        self._marks.setdefault(chunk_key(job, number), 0)
                 self._ledger.put_back(batch)
                 await sleep(self._clock, timedelta(seconds=0.3))
                 continue
@@ -140,8 +143,9 @@
             when[job_key(job)] = mark
             writes.append(Put(job_key(job), raw(record)))
         for _, key in batch.removed:
-            when[key] = self._marks.get(key, 0)
-            writes.append(Delete(key))
+            when[key] = stored = self._marks.get(key, 0)
+            if stored:
+                writes.append(Delete(key))
         return await self._client.txn([Condition(key, mark) for key, mark in when.items()], writes)
 
     def _apply(self, batch: Batch, turn: int) -> None:
--- a/spindleglade/workers/recording.py
+++ b/spindleglade/workers/recording.py
@@ -146,6 +146,9 @@
                 record = JobRecord("done", job.spec, job.chunk, job.accepted)
                 batch.done.append((job_id, job.mark, record))
         elif job is None or (not job.open and not job.placed):
+            if job_id in batch.over:
+                # Asked for by another of its chunks.
+                return
             for key in self._stored_chunks(job_id, stored):
                 if batch.size < most:
                     batch.removed.append((job_id, key))
--- a/spindleglade/workers/test_recorder.py
+++ b/spindleglade/workers/test_recorder.py
@@ -123,6 +123,53 @@
     assert "job-1" not in ledger.jobs and not deposed and len(store.sizes) == 1
 
 
+def aborted(store, tasks, at_s):
+    """What is left of a job's chunks in the store; it is aborted at that time, and its machine gone."""
+    ledger, clock = make_ledger(), ManualClock()
+    ledger.teams = {}
+    ledger.take_job(JobRecord("open", spec(tasks=tasks), 256), 1)
+    ledger.report(Report("n-1", "x:1", "m", "z", True, 1, 1, TOKEN, []), clock.now(), True)
+    ledger.apply(Plan(starts=[Start("job-1", index, "n-1") for index in range(tasks)]), clock.now())
+    recorder = Recorder(ledger, store, clock, Term(TOKEN, 5, 1), {}, lambda: None, lambda reason: None)
+    recorder.start()
+    clock.advance(seconds(at_s))
+    store.marks[job_key("job-1")] = 90
+    store.values[job_key("job-1")] = raw(JobRecord("aborted", spec(tasks=tasks), 256))
+    ledger.take_job(JobRecord("aborted", spec(tasks=tasks), 256), 90)
+    ledger.machine_gone("n-1", "test")
+    recorder.wake()
+    for _ in range(50):
+        clock.advance(seconds(0.1))
+        recorder.wake()
+    assert not ledger.jobs
+    return [key for key in store.marks if key.startswith(TASKS)]
+
+
+def test_a_chunk_whose_write_had_no_answer_is_not_left_behind_by_an_abort():
+    """The recorder took it for not written, and it stayed for good: a placement of a cancelled job, which
+    nobody was to renew a lease for, and which the next leader counted against its team's limit."""
+    assert aborted(Store(["answer lost"]), 3, 0.1) == []
+    assert aborted(Store(["refused"]), 3, 0.1) == []
+    assert aborted(Store(), 3, 1) == []
+
+
+def test_each_chunk_of_a_job_that_is_over_is_removed_once():
+    """Each of its chunks asked for the removal of all: three chunks were nine changes of the store."""
+    store, removed = Store(), []
+    carry = store.txn
+
+    async def txn(when, writes, urgent=False):
+        removed.extend(write.key for write in writes if not isinstance(write, Put))
+        assert len({write.key for write in writes if not isinstance(write, Put)}) == sum(
+            not isinstance(write, Put) for write in writes
+        )
+        return await carry(when, writes, urgent)
+
+    store.txn = txn
+    assert aborted(store, 600, 1) == []
+    assert len(removed) == 3
+
+
 def test_an_abort_at_the_end_of_the_last_task_is_not_written_over():
     """The user was told that the job is cancelled; the leader has just seen its last task done."""
     store = Store()
