--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -11,13 +11,23 @@
 machine for one task after the other.
 """
 
+import math
 from dataclasses import replace
 
 import numpy as np
 
 from spindleglade.backfill.preempting import Preempting
 from spindleglade.backfill.reserving import Reserving
-from spindleglade.backfill.snapshot import Freeing, JobView, Plan, Running, Snapshot, Start, Unmet
+from spindleglade.backfill.snapshot import (
+    Freeing,
+    JobView,
+    Plan,
+    Running,
+    Snapshot,
+    Start,
+    Unmet,
+    idle_time,
+)
 
 
 class Planner:
@@ -72,15 +82,15 @@
         if not wanted or (job.whole and wanted < len(job.waiting)):
             return
         passes = self.head is None or (not self.head.overdue and self._outranks(job))
-        if passes or job.like() not in refused:
+        now = wanted
+        if self.ordinary_first and not job.overdue and idle_time(job, self.teams):
+            now = min(wanted, job.fitting(self._unclaimed_cpus(), math.inf))
+        placed = 0
+        if now and (passes or job.like() not in refused):
             if not job.plain:
-                placed = self._place_singly(job, wanted, passes, refused)
-            elif job.place() in full and not job.avoid:
-                placed = 0
-            else:
-                placed = self._place_alike(job, wanted, passes, refused, full)
-        else:
-            placed = 0
+                placed = self._place_singly(job, now, passes, refused)
+            elif job.place() not in full or job.avoid:
+                placed = self._place_alike(job, now, passes, refused, full)
         rest = wanted - placed
         # Room is neither reserved nor rented to see a job fail once more, unless it waits too long for it or
         # no machine there could ever take it.
@@ -92,6 +102,13 @@
                 self.head, self.head_tasks = job, rest if job.whole else 1
                 self.plan.head = job.id
 
+    def _unclaimed_cpus(self) -> float:
+        """CPUs that would stand idle even if every team claimed its guarantee. Where work must start sooner
+        than a machine boots, room is kept up for that. Idle-time work took it, and each urgent start then
+        waited until something had been stopped for it and had saved."""
+        claims = sum(max(0.0, team.cpus - self.used_cpus.get(team.name, 0.0)) for team in self.teams.values())
+        return max(0.0, float(np.maximum(self.field.free[:, 0], 0.0).sum()) - claims)
+
     def _place_alike(
         self, job: JobView, wanted: int, passes: bool, refused: set[tuple], full: set[tuple]
     ) -> int:
--- a/spindleglade/backfill/test_planner.py
+++ b/spindleglade/backfill/test_planner.py
@@ -58,9 +58,9 @@
     return Running("job-0", 0, team, rank, cpus, 0.0, 1.0, seconds(estimate), NOW - seconds(elapsed))
 
 
-def plan(jobs, machines, tau=0.05, predictor=None, preempt="none"):
+def plan(jobs, machines, tau=0.05, predictor=None, preempt="none", ordinary_first=False):
     predictor = predictor or Predictor(Bins(seconds(1), 1.8), 3, 100)
-    return Planner(tau, preempt).plan(Snapshot(jobs, machines, TEAMS, predictor, NOW))
+    return Planner(tau, preempt).plan(Snapshot(jobs, machines, TEAMS, predictor, NOW, ordinary_first))
 
 
 def started(result):
@@ -373,6 +373,24 @@
     assert stops("guest", 0) == []
 
 
+def test_idle_time_work_leaves_the_room_that_is_kept_up_for_guarantees():
+    """It filled that room, and each urgent start waited until something had been stopped for it."""
+
+    def result(ready, empty=2, **fields):
+        guest = job("job-1", 2.0, waiting=20, **({"team": "guest", "rank": 0} | fields))
+        # Of the guarantees, 16 and 8 CPUs, 14 are in use: 10 may be claimed.
+        views = [machine("n-0", [running(6.0)], cpus=6.0), machine("n-1", [running(8.0, team="u")])]
+        views += [machine(f"n-{at + 2}") for at in range(empty)]
+        found = plan([guest], views, ordinary_first=ready)
+        return len(found.starts), [unmet.count for unmet in found.unmet]
+
+    assert result(True) == (3, [17]) and result(True, empty=1) == (0, [20])
+    # Where no machine need stand ready; work that is owed a start; what others may not claim from.
+    assert result(False) == (8, [12])
+    assert result(True, empty=1, overdue=True)[0] == 2
+    assert result(True, rank=1) == (8, [12]) and result(True, team="t") == (8, [12])
+
+
 class EveryMachine(_Round):
     """The plain form: looks closely at each machine where anything may be stopped."""
 
