--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -466,10 +466,11 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_a_start_is_held_up_and_its_job_cancelled(seed):
+@pytest.mark.parametrize("relayed", [True, False])
+def test_a_start_is_held_up_and_its_job_cancelled(seed, relayed):
     """The way from the leader to a machine holds all back, while the machine's reports come by way of a
-    sibling, so that its lease goes on. The cloud takes nothing back meanwhile. The start must not land after
-    a cancellation's time."""
+    sibling, so that its lease goes on; or the sibling reaches the store alone, and renews it by itself. The
+    cloud takes nothing back meanwhile. The start must not land after a cancellation's time."""
     # Too few machines for the leader to take itself for the one that is not heard.
     world = World(540 + seed, deployment=Deployment(capacity=2, teams=ROOMY))
     world.cloud.never_up = 0.0
@@ -486,10 +487,14 @@
     jobs = [world.submit(100 + number, threads=2, vcpus=1.0, run_s=30.0) for number in range(2)]
     world.run(seconds(1))
     assert any(assignment.sending for assignment in world.assignments()), "a start is on its way"
+    near, far = (world.node_names[(leader + step) % 3] for step in (1, 2))
+    if not relayed:
+        world.cut(near, world.node_names, False, CANCEL + seconds(8))
+        world.cut(far, machines, False, CANCEL + seconds(8))
     for job in jobs:
         world.abort(job)
     world.run(CANCEL + seconds(20))
-    assert world.leader() == leader
+    assert world.leader() == leader or not relayed
     settle(world, 120)
 
 
