Say once what is malformed, what guarantees may claim, and which starts may still land

Three places caught too deep nesting each for itself, planner and fleet both summed what guarantees may still claim, and the ledger and the fleet each looked for unanswered starts of aborted jobs, by two signs that always agree.

--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -177,11 +177,7 @@
         self._spread = Spread(clock, workers.report, len(platform.siblings), workers.lease)
         self._cut_off: timedelta | None = None
         lasts = workers.cancel - workers.lease - seconds(settings.workers.cancel_margin_s)
-        self._bound = CancellationBound(
-            clock,
-            lasts,
-            lambda: self.replica.confirmed,
-        )
+        self._bound = CancellationBound(clock, lasts, lambda: self.replica.confirmed)
         # The leader knows what it has started, so it may go by its siblings' word as well.
         self._leaders_bound = CancellationBound(clock, lasts, lambda: self._statements.proven)
         self.workers = WorkerApi(
--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -26,6 +26,7 @@
     Snapshot,
     Start,
     Unmet,
+    claimable_cpus,
     idle_time,
 )
 
@@ -61,7 +62,7 @@
                 self._place_job(job, refused, full)
         if self.preempt != "none":
             self._make_room()
-        self.plan.spare_cpus = float(np.maximum(self.field.free[:, 0], 0.0).sum())
+        self.plan.spare_cpus = self._free_cpus()
         self.plan.used_cpus = self.used_cpus
         self.plan.freeing = self._freeing
         return self.plan
@@ -84,7 +85,7 @@
         passes = self.head is None or (not self.head.overdue and self._outranks(job))
         now = wanted
         if self.ordinary_first and not job.overdue and idle_time(job, self.teams):
-            now = min(wanted, job.fitting(self._unclaimed_cpus(), math.inf))
+            now = min(wanted, job.fitting(self._beyond_guarantees(), math.inf))
         placed = 0
         if now and (passes or job.like() not in refused):
             if not job.plain:
@@ -102,12 +103,14 @@
                 self.head, self.head_tasks = job, rest if job.whole else 1
                 self.plan.head = job.id
 
-    def _unclaimed_cpus(self) -> float:
+    def _free_cpus(self) -> float:
+        return float(np.maximum(self.field.free[:, 0], 0.0).sum())
+
+    def _beyond_guarantees(self) -> float:
         """CPUs that would stand idle even if every team claimed its guarantee. Where work must start sooner
         than a machine boots, room is kept up for that. Idle-time work took it, and each urgent start then
         waited until something had been stopped for it and had saved."""
-        claims = sum(max(0.0, team.cpus - self.used_cpus.get(team.name, 0.0)) for team in self.teams.values())
-        return max(0.0, float(np.maximum(self.field.free[:, 0], 0.0).sum()) - claims)
+        return max(0.0, self._free_cpus() - claimable_cpus(self.teams, self.used_cpus))
 
     def _place_alike(
         self, job: JobView, wanted: int, passes: bool, refused: set[tuple], full: set[tuple]
--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -186,6 +186,11 @@
     return work.rank == 0 and (team is None or not (team.cpus or team.gpus))
 
 
+def claimable_cpus(teams: dict[str, Team], used: dict[str, float]) -> float:
+    """CPUs that the teams could still claim by their guarantees."""
+    return sum(max(0.0, team.cpus - used.get(team.name, 0.0)) for team in teams.values())
+
+
 @dataclass(slots=True)
 class Snapshot:
     # In submission order.
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from spindleglade.backfill.snapshot import Freeing, Plan, Unmet, idle_time
+from spindleglade.backfill.snapshot import Freeing, Plan, Unmet, claimable_cpus, idle_time
 from spindleglade.clock import ZERO, Clock, seconds, sleep
 from spindleglade.fleet.client import MOST_RELEASED, MOST_RENTED, CloudClient, NoCapacity, Refused, Silent
 from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, Rooms, rentals, soon_free
@@ -278,9 +278,7 @@
         room for the guarantees is kept up."""
         if not self._working():
             return -1e9
-        claims = sum(
-            max(0.0, team.cpus - self._used.get(team.name, 0.0)) for team in self._ledger.teams.values()
-        )
+        claims = claimable_cpus(self._ledger.teams, self._used)
         now = self._clock.now()
         coming = sum(boot.type.cpus for boot in self._booting.values() if not self._lost(boot, now))
         coming += sum(rent.count * kind.cpus for rent, kind in self._asking.values())
@@ -368,13 +366,7 @@
                     reason = "does not hear"
                 elif machine.condemned and not machine.placed:
                     reason = "faulty"
-                elif machine.unsure and any(
-                    assignment.stop == "aborted"
-                    and not assignment.seen
-                    and now - sent > self._ledger.rules.lease / 2
-                    for assignment in machine.placed.values()
-                    if (sent := machine.unsure.get((assignment.task, assignment.attempt))) is not None
-                ):
+                elif any(now - sent > self._ledger.rules.lease / 2 for sent in machine.unsure_of_aborted()):
                     # A start of an aborted job may still land there, and nothing else could take it back.
                     reason = "unsure start of an aborted job"
                 elif (
--- a/spindleglade/leadership/links.py
+++ b/spindleglade/leadership/links.py
@@ -18,6 +18,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 
 from spindleglade.clock import Clock, sleep
+from spindleglade.decoding import decode
 from spindleglade.settings.platform import Sibling, split_address
 from spindleglade.tasks import keep, spawn
 
@@ -86,10 +87,7 @@
 
 def decode_message(data: bytes) -> Message:
     """Raises msgspec.DecodeError on anything malformed."""
-    try:
-        return _decoder.decode(data)
-    except RecursionError:
-        raise msgspec.DecodeError("nested too deeply") from None
+    return decode(_decoder.decode, data)
 
 
 class LinkDown(Exception):
--- a/spindleglade/submissions/messages.py
+++ b/spindleglade/submissions/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from spindleglade.decoding import decode
 from spindleglade.settings.platform import Team
 
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=500)]
@@ -56,6 +57,10 @@
     id: JobId = msgspec.field(name="ref")
 
 
+_submissions = msgspec.json.Decoder(Submission)
+_names = msgspec.json.Decoder(_Named)
+
+
 class JobAnswer(msgspec.Struct):
     id: str = msgspec.field(name="ref")
     stage: str
@@ -84,17 +89,14 @@
 
 def decode_submission(body: bytes) -> Submission:
     """Raises msgspec.DecodeError (of which its ValidationError is one) on anything malformed."""
-    try:
-        return msgspec.json.decode(body, type=Submission)
-    except RecursionError:
-        raise msgspec.DecodeError("nested too deeply") from None
+    return decode(_submissions.decode, body)
 
 
 def named_job(body: bytes) -> str | None:
     """The job that a malformed submission is about, if it says so."""
     try:
-        return msgspec.json.decode(body, type=_Named).id
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return decode(_names.decode, body).id
+    except (msgspec.DecodeError, UnicodeDecodeError):
         # What cannot be read at all is a repeat of nothing.
         return None
 
--- a/spindleglade/workers/attempts.py
+++ b/spindleglade/workers/attempts.py
@@ -230,6 +230,19 @@
     # As planning sees it, until something here changes.
     view: MachineView | None = None
 
+    def unsure_of_aborted(self) -> list[timedelta]:
+        """When those starts were sent that went straight here, were never answered, and may still bring a
+        task of an aborted job."""
+        if not self.unsure:
+            return []
+        return [
+            self.unsure[key]
+            for assignment in self.placed.values()
+            if assignment.job.aborted
+            and not assignment.seen
+            and (key := (assignment.task, assignment.attempt)) in self.unsure
+        ]
+
 
 class MachineKind(NamedTuple):
     cpus: float
--- a/spindleglade/workers/book.py
+++ b/spindleglade/workers/book.py
@@ -128,17 +128,6 @@
         self.dirty[(job.id, 0)] = None
         log.info("done job=%s", job.id)
 
-    @staticmethod
-    def _may_get_aborted(machine: Machine) -> bool:
-        """Whether a start that went straight to the machine, and was never answered, may still bring it a
-        task of an aborted job."""
-        return bool(machine.unsure) and any(
-            assignment.job.aborted
-            and not assignment.seen
-            and (assignment.task, assignment.attempt) in machine.unsure
-            for assignment in machine.placed.values()
-        )
-
     @staticmethod
     def _all_recorded(job: Job) -> None:
         for number in range((len(job.state) - 1) // job.chunk + 1):
--- a/spindleglade/workers/intake.py
+++ b/spindleglade/workers/intake.py
@@ -36,7 +36,7 @@
             if (report.session, report.tally) <= (machine.session, machine.tally):
                 # A late copy, or overtaken by a newer one: its list is as old as it is, and it says nothing
                 # of how the machine is now. Answered all the same: the worker drops what it does not await.
-                return None if self._may_get_aborted(machine) else []
+                return None if machine.unsure_of_aborted() else []
             self.heard = machine.heard = now
             if asked:
                 machine.reported = now
@@ -54,7 +54,7 @@
             self._take_report(machine, report, now, asked)
             if not asked:
                 return []
-            if self._may_get_aborted(machine):
+            if machine.unsure_of_aborted():
                 # Nothing takes such a start back but the end of the session: were the lease renewed until the
                 # cloud gives the machine up, a start held up for a minute would run a cancelled task.
                 return None
--- a/spindleglade/workers/messages.py
+++ b/spindleglade/workers/messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from spindleglade.decoding import decode
+
 
 class TaskReport(msgspec.Struct, frozen=True):
     task: str = msgspec.field(name="thread")
@@ -53,10 +55,7 @@
 
 def decode_report(body: bytes) -> Report:
     """Raises msgspec.DecodeError on anything malformed."""
-    try:
-        return _reports.decode(body)
-    except RecursionError:
-        raise msgspec.DecodeError("nested too deeply") from None
+    return decode(_reports.decode, body)
 
 
 def task_name(job: str, index: int) -> str:
