--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -15,10 +15,10 @@
 from spindleglade.clock import Clock, ReactorClock, seconds, sleep
 from spindleglade.fleet.client import CloudClient
 from spindleglade.fleet.types import TypeBook
+from spindleglade.leader import Leader
 from spindleglade.leadership.election import Election, Term
 from spindleglade.leadership.links import Forward, LinkDown, Links, Ping, Relay, Siblings
 from spindleglade.leadership.statements import Statements
-from spindleglade.reign import Reign
 from spindleglade.settings import OperatorSettings, Platform
 from spindleglade.settings.platform import split_address
 from spindleglade.sockets import Sockets
@@ -29,10 +29,10 @@
 from spindleglade.tasks import keep
 from spindleglade.web import Answer, HttpClient, Requester, Turns, site
 from spindleglade.workers.api import WorkerApi
-from spindleglade.workers.bound import CancellationBound
+from spindleglade.workers.balancer import Load, ReportBalancer, Solitude
+from spindleglade.workers.cancellation_bound import CancellationBound
 from spindleglade.workers.messages import Report, ReportAnswer, decode_report
 from spindleglade.workers.relay import Relays
-from spindleglade.workers.spread import Load, Solitude, Spread
 
 log = logging.getLogger("spindleglade")
 
@@ -159,7 +159,7 @@
         self._proof_lasts = seconds(settings.store.confirm_s + settings.leadership.lease_s)
         # When this process last ran late.
         self._busy = timedelta(days=-1)
-        self.reign: Reign | None = None
+        self.leader: Leader | None = None
         self.replica.listen(self._job_changed)
         # Tells siblings this process from the one before.
         self._process = uuid4().hex
@@ -174,7 +174,7 @@
             self.client, self.replica, self.views, platform.teams, self.types.shapes, self._forward, clock.utc
         )
         workers = params.workers
-        self._spread = Spread(clock, workers.report, len(platform.siblings), workers.lease)
+        self._balancer = ReportBalancer(clock, workers.report, len(platform.siblings), workers.lease)
         self._cut_off: timedelta | None = None
         lasts = workers.cancel - workers.lease - seconds(settings.workers.cancel_margin_s)
         self._bound = CancellationBound(clock, lasts, lambda: self.replica.confirmed)
@@ -188,13 +188,13 @@
             lambda: self.leads,
             Relays(clock, seconds(settings.workers.relay_window_s), self._relay).send,
             self.election.saw_token,
-            self._spread,
+            self._balancer,
             Solitude(clock, platform.zone, workers.lease, self._alone_since),
         )
 
     @property
     def leads(self) -> bool:
-        return self.reign is not None and self.reign.active
+        return self.leader is not None and self.leader.active
 
     def start(self) -> None:
         self.replica.start()
@@ -213,7 +213,7 @@
     # Leadership.
 
     def _won(self, term: Term) -> None:
-        self.reign = Reign(
+        self.leader = Leader(
             term,
             self._platform,
             self._settings,
@@ -227,7 +227,7 @@
             self._leaders_bound,
             self.election.step_down,
         )
-        self.reign.start()
+        self.leader.start()
 
     def _proven(self) -> bool:
         """Whether this node has lately been shown that it leads, since what it learns of a later term deposes
@@ -241,24 +241,24 @@
         return bool(shown) and (len(shown) == len(links) or any(map(self._serving, shown)))
 
     def _lost(self, reason: str) -> None:
-        if self.reign is not None:
-            reign, self.reign = self.reign, None
-            reign.end()
+        if self.leader is not None:
+            leader, self.leader = self.leader, None
+            leader.end()
 
     def _job_changed(self, key: str, value: bytes | None, mark: int) -> None:
-        if self.reign is not None and key.startswith(VOUCHED) and value is not None:
-            self.reign.vouched(msgspec.json.decode(value, type=list[str]))
-        if self.reign is not None and key.startswith(JOBS) and value is not None:
-            self.reign.job_changed(msgspec.json.decode(value, type=JobRecord), mark)
+        if self.leader is not None and key.startswith(VOUCHED) and value is not None:
+            self.leader.vouched(msgspec.json.decode(value, type=list[str]))
+        if self.leader is not None and key.startswith(JOBS) and value is not None:
+            self.leader.job_changed(msgspec.json.decode(value, type=JobRecord), mark)
 
     def _weigh(self) -> None:
-        own = Load(self._platform.name, self._spread.workers, self.leads)
+        own = Load(self._platform.name, self._balancer.workers, self.leads)
         others = [
             Load(link.sibling.name, link.state.workers, link.state.leads)
             for link in self.links.links
             if self._serving(link)
         ]
-        self._spread.weigh(own, others)
+        self._balancer.weigh(own, others)
 
     async def _vouch(self) -> None:
         """A node that renews leases without the leader, because the two cannot reach each other, tells it so
@@ -306,11 +306,11 @@
                 self._cut_off = now
                 log.info("cut off from the store and all siblings")
                 self.election.step_down("cut off from the store and all siblings")
-            reign = self.reign
-            if reign is None or not reign.active or not self._platform.siblings:
+            leader = self.leader
+            if leader is None or not leader.active or not self._platform.siblings:
                 continue
             if (
-                reign.unheard
+                leader.unheard
                 and any(self._serving(link) for link in self.links.links)
                 and self._clock.now() - self._resigned > RESIGN_AGAIN
             ):
@@ -320,15 +320,15 @@
                 self._stand_back = self._resigned + patience * 2
                 await self.election.resign("machines do not hear it, though they are heard")
                 continue
-            with reign.ledger.lock:
-                machines = any(machine.address for machine in reign.ledger.machines.values())
-            deaf = machines and self._clock.now() - reign.ledger.heard > patience
+            with leader.cluster.lock:
+                machines = any(machine.address for machine in leader.cluster.machines.values())
+            deaf = machines and self._clock.now() - leader.cluster.heard > patience
             if deaf and not any(link.up for link in self.links.links):
                 self._stand_back = self._clock.now() + patience * 2
                 await self.election.resign("hears neither machines nor siblings")
 
     def _lead(self, report: Report) -> ReportAnswer | None:
-        return self.reign.report(report) if self.reign is not None else None
+        return self.leader.report(report) if self.leader is not None else None
 
     # Siblings.
 
@@ -340,7 +340,7 @@
             self.election.highest,
             self.leads,
             age,
-            self._spread.workers,
+            self._balancer.workers,
             self._process,
             self.replica.turn,
             None if turn is None else self.views.aborts_since(turn),
--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -69,7 +69,7 @@
 
     def _freeing(self) -> Freeing:
         where, rows, expected, _, _ = self._outlook()
-        return Freeing(self.machines, self.field.free, where, expected, rows[:, 3:])
+        return Freeing(self.machines, self.columns.free, where, expected, rows[:, 3:])
 
     def _place_job(self, job: JobView, refused: set[tuple], full: set[tuple]) -> None:
         limit = self._room(job, guarantee=False)
@@ -104,7 +104,7 @@
                 self.plan.head = job.id
 
     def _free_cpus(self) -> float:
-        return float(np.maximum(self.field.free[:, 0], 0.0).sum())
+        return float(np.maximum(self.columns.free[:, 0], 0.0).sum())
 
     def _beyond_guarantees(self) -> float:
         """CPUs that would stand idle even if every team claimed its guarantee. Where work must start sooner
@@ -138,8 +138,8 @@
         for index in job.waiting[:wanted]:
             fits = self._fits(job)
             for name in job.barred.get(index, ()):
-                if name in self.field.index:
-                    fits[self.field.index[name]] = 0
+                if name in self.columns.index:
+                    fits[self.columns.index[name]] = 0
             able = self._order(job, fits)
             at = next((at for at in able if passes or self._passing(job, int(at), 1, refused)), None)
             if at is None:
@@ -154,7 +154,7 @@
         return len(placed)
 
     def _start(self, job: JobView, index: int, at: int) -> None:
-        columns, machine = self.field, self.machines[at]
+        columns, machine = self.columns, self.machines[at]
         self.plan.starts.append(Start(job.id, index, machine.name))
         task = Running(job.id, index, job.team, job.rank, job.cpus, job.gpus, job.memory, job.estimate)
         self.added.append((at, task))
@@ -174,6 +174,6 @@
         for at in reversed(placed):
             self.plan.starts.pop()
             self.added.pop()
-            self.field.free[at] += job.need
+            self.columns.free[at] += job.need
             job.zones[self.machines[at].zone] -= 1
             self._use(job.team, -job.cpus, -job.gpus)
--- a/spindleglade/backfill/preempting.py
+++ b/spindleglade/backfill/preempting.py
@@ -6,7 +6,7 @@
 import numpy as np
 
 from spindleglade.backfill.arrays import Array
-from spindleglade.backfill.field import Round
+from spindleglade.backfill.round_state import Round
 from spindleglade.backfill.snapshot import EPS, JobView, Running, Stop, idle_time
 
 # Tasks stopped in one round; the rest waits for the next.
@@ -166,8 +166,8 @@
             self.plan.stops.append(Stop(task.job, task.index, machine.name, job.id))
             self._use(task.team, -task.cpus, -task.gpus)
         machine.claims[job.id] = machine.claims.get(job.id, 0) + 1
-        if at not in self.field.claimed:
-            self.field.claimed.append(at)
+        if at not in self.columns.claimed:
+            self.columns.claimed.append(at)
         self.plan.claims.append((machine.name, job.id, machine.claims[job.id]))
         self._use(job.team, job.cpus, job.gpus)
         return True
--- a/spindleglade/backfill/reserving.py
+++ b/spindleglade/backfill/reserving.py
@@ -5,8 +5,8 @@
 import numpy as np
 
 from spindleglade.backfill.arrays import Array, Counts, Mask
-from spindleglade.backfill.field import Round
 from spindleglade.backfill.probability import Reservation
+from spindleglade.backfill.round_state import Round
 from spindleglade.backfill.snapshot import EPS, JobView, task_rows
 
 
@@ -98,12 +98,12 @@
         one place: what it has already, and more on the machines that will have room soonest. On a sixteenth
         of the machines at most: they stand half empty meanwhile, and the others must get on as well."""
         held = 0
-        for at in self.field.claimed:
+        for at in self.columns.claimed:
             count = self.machines[at].claims.get(job.id, 0)
             if count > 0:
                 self.plan.claims.append((self.machines[at].name, job.id, count))
                 held += count
-        more = min(rest - held, max(1, len(self.machines) // 16) - len(self.field.claimed))
+        more = min(rest - held, max(1, len(self.machines) // 16) - len(self.columns.claimed))
         if more <= 0:
             return
         unit, ready, *_ = self._units(job)
@@ -114,7 +114,7 @@
             if self.machines[at].claims:
                 continue
             self.machines[at].claims[job.id] = 1
-            self.field.claimed.append(int(at))
+            self.columns.claimed.append(int(at))
             self.plan.claims.append((self.machines[at].name, job.id, 1))
 
     def _outranks(self, job: JobView) -> bool:
--- a/spindleglade/backfill/field.py
+++ b/spindleglade/backfill/round_state.py
@@ -7,7 +7,7 @@
 from spindleglade.backfill.snapshot import JobView, MachineView, Plan, Running, Snapshot
 
 
-class Field:
+class MachineColumns:
     """The open machines as columns."""
 
     def __init__(self, machines: list[MachineView]) -> None:
@@ -66,7 +66,7 @@
         self.ordinary_first = snapshot.ordinary_first
         self.tau = tau
         self.preempt = preempt
-        self.field = Field(self.machines)
+        self.columns = MachineColumns(self.machines)
         # Tasks started in this round, by machine.
         self.added: list[tuple[int, Running]] = []
         # Every assignment not proven over counts, on closed machines too.
@@ -107,7 +107,7 @@
         return self._room(job, guarantee) > 0
 
     def _allowed(self, job: JobView) -> Mask:
-        columns = self.field
+        columns = self.columns
         mask = np.ones(len(self.machines), bool)
         if job.types is not None:
             mask[:] = False
@@ -131,7 +131,7 @@
 
     def _unclaimed(self, job: JobView | None) -> Array:
         """What is free on each machine, less the room held there for jobs other than this one."""
-        columns = self.field
+        columns = self.columns
         if not columns.claimed:
             return columns.free
         free = columns.free.copy()
@@ -156,6 +156,6 @@
         """Where a task runs soonest; among those, the kind of machine preferred here, and the fullest first,
         so that others stay whole or idle."""
         able = np.nonzero(fits)[0]
-        fetch = self.field.fetch_s(job.image, job.image_gb)
-        dear = self.field.spot == self.ordinary_first
-        return able[np.lexsort((self.field.free[able, 0], dear[able], fetch[able]))]
+        fetch = self.columns.fetch_s(job.image, job.image_gb)
+        dear = self.columns.spot == self.ordinary_first
+        return able[np.lexsort((self.columns.free[able, 0], dear[able], fetch[able]))]
--- a/spindleglade/backfill/rounds.py
+++ b/spindleglade/backfill/rounds.py
@@ -1,5 +1,4 @@
-"""Runs planning rounds in one thread: snapshot under the ledger's lock, plan without it, take over what still
-holds."""
+"""Runs planning rounds in one thread: snapshot under the lock, plan without it, apply what still holds."""
 
 import logging
 import time
@@ -13,7 +12,7 @@
 from spindleglade.backfill.snapshot import Plan
 from spindleglade.clock import Clock, sleep
 from spindleglade.tasks import spawn
-from spindleglade.workers.ledger import Ledger
+from spindleglade.workers.cluster import Cluster
 
 log = logging.getLogger("spindleglade.backfill")
 
@@ -21,7 +20,7 @@
 class Rounds:
     def __init__(
         self,
-        ledger: Ledger,
+        cluster: Cluster,
         planner: Planner,
         clock: Clock,
         compute: Callable[..., Awaitable[Any]],
@@ -29,7 +28,7 @@
         planned: Callable[[Plan, int], None],
         broken: Callable[[str], None],
     ) -> None:
-        self._ledger = ledger
+        self._cluster = cluster
         self._planner = planner
         self._clock = clock
         self._compute = compute
@@ -64,7 +63,7 @@
             plan, cpu = await self._compute(self._plan, began)
             if self._stopped:
                 return
-            placed = self._ledger.apply(plan, self._clock.now())
+            placed = self._cluster.apply(plan, self._clock.now())
             log.debug(
                 "planned starts=%d stops=%d unmet=%d head=%s checks=%d cpu_ms=%.1f",
                 placed,
@@ -81,5 +80,5 @@
 
     def _plan(self, now: timedelta) -> tuple[Plan, float]:
         began = time.thread_time()
-        snapshot = self._ledger.snapshot(now)
+        snapshot = self._cluster.snapshot(now)
         return self._planner.plan(snapshot), time.thread_time() - began
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -19,7 +19,7 @@
 from spindleglade.tasks import spawn
 from spindleglade.web import Crowded, NoAnswer
 from spindleglade.workers.attempts import Machine
-from spindleglade.workers.ledger import Ledger
+from spindleglade.workers.cluster import Cluster
 
 log = logging.getLogger("spindleglade.fleet")
 
@@ -40,7 +40,7 @@
 class FleetManager:
     def __init__(
         self,
-        ledger: Ledger,
+        cluster: Cluster,
         cloud: CloudClient,
         clock: Clock,
         token: int,
@@ -55,7 +55,7 @@
         changed: Callable[[], None],
         greet: Callable[[str, int], None],
     ) -> None:
-        self._ledger = ledger
+        self._cluster = cluster
         self._cloud = cloud
         self._clock = clock
         self._token = token
@@ -67,10 +67,10 @@
         # Since when each job has had tasks that found no room.
         self._waiting_since: dict[str, timedelta] = {}
         # A machine that has been silent for so long has missed reports.
-        self._patience = ledger.rules.report * 2 + seconds(0.5)
-        self._silence = ledger.rules.lease + seconds(workers.silence_margin_s)
+        self._patience = cluster.rules.report * 2 + seconds(0.5)
+        self._silence = cluster.rules.lease + seconds(workers.silence_margin_s)
         # A machine that misses so many reports and does not answer either is given up before its lease ends.
-        self._early = max(ledger.rules.report * workers.silent_reports, seconds(4))
+        self._early = max(cluster.rules.report * workers.silent_reports, seconds(4))
         self._show = show
         self._changed = changed
         self._greet = greet
@@ -125,7 +125,7 @@
             entry.job.id: self._waiting_since.get(entry.job.id, now)
             for entry in plan.unmet
             # Ordinary machines cost several times as much; that is not for work which only fills idle ones.
-            if not idle_time(entry.job, self._ledger.teams)
+            if not idle_time(entry.job, self._cluster.teams)
         }
 
     async def _run(self) -> None:
@@ -145,28 +145,28 @@
             self._rent(now)
 
     def _arrived(self) -> None:
-        with self._ledger.lock:
-            for name in [name for name in self._booting if name in self._ledger.machines]:
+        with self._cluster.lock:
+            for name in [name for name in self._booting if name in self._cluster.machines]:
                 del self._booting[name]
 
     def _probe(self, now: timedelta) -> None:
         """Asks the machines that have missed reports straight. Where most of them have, it is this node that
         is cut off, and nothing is concluded."""
         missing, living, deaf = [], [], []
-        with self._ledger.lock:
-            for machine in self._ledger.machines.values():
+        with self._cluster.lock:
+            for machine in self._cluster.machines.values():
                 if not machine.address:
                     continue
-                silent = self._ledger.silent(machine, now, self._patience)
+                silent = self._cluster.silent(machine, now, self._patience)
                 (missing if silent else living).append(machine)
-                if machine.deaf is not None:
+                if machine.not_receiving is not None:
                     deaf.append(machine)
             # Their leases are renewed by a node that cannot reach this one; they can be asked all the same,
             # and are of use again. While nodes refused each other's links, two thirds of all stood idle.
             wanted = [m for m in living if m.heard is not None and now - m.heard > self._patience]
             if len(missing) <= len(living):
-                wanted += [m for m in missing if m.mute is None] + deaf
-        unanswered, answered, untried = self._ledger.contacts(now)
+                wanted += [m for m in missing if m.unanswered_since is None] + deaf
+        unanswered, answered, untried = self._cluster.contacts(now)
         if unanswered:
             # Is it they that do not hear, or this node that is not heard? Others tell.
             wanted += untried[: len(unanswered) + FEW]
@@ -193,10 +193,10 @@
             # Not asked, so nothing is learned.
             pass
         except NoAnswer as error:
-            with self._ledger.lock:
+            with self._cluster.lock:
                 machine.unreached = self._clock.now()
                 if machine.heard is None or machine.heard < began:
-                    machine.mute = machine.unreached
+                    machine.unanswered_since = machine.unreached
             log.info("machine does not answer machine=%s reason=%s", machine.name, error)
         finally:
             self._probing.discard(machine.name)
@@ -207,8 +207,8 @@
     def _offers(self, now: timedelta) -> list[Offer]:
         offers = []
         there: dict[str, int] = {}
-        with self._ledger.lock:
-            for machine in self._ledger.machines.values():
+        with self._cluster.lock:
+            for machine in self._cluster.machines.values():
                 there[machine.zone] = there.get(machine.zone, 0) + 1
         for boot in self._booting.values():
             there[boot.zone] = there.get(boot.zone, 0) + 1
@@ -241,9 +241,9 @@
                 Room(rent.type, rent.zone, rent.spot, kind.cpus, kind.gpus, kind.memory_gb)
                 for _ in range(rent.count)
             ]
-        with self._ledger.lock:
+        with self._cluster.lock:
             used: dict[str, float] = {}
-            for job in self._ledger.jobs.values():
+            for job in self._cluster.jobs.values():
                 used[job.spec.team] = used.get(job.spec.team, 0.0) + job.spec.cpus * len(job.placed)
         types = self._types()
         rooms = Rooms(coming)
@@ -253,7 +253,7 @@
             self._unmet,
             rooms,
             self._offers(now),
-            self._ledger.teams,
+            self._cluster.teams,
             used,
             MOST_RENTED,
             steady=self.ready,
@@ -269,8 +269,8 @@
             spawn(self._ask(rent, offer.type), "ask")
 
     def _working(self) -> bool:
-        with self._ledger.lock:
-            return any(job.open for job in self._ledger.jobs.values())
+        with self._cluster.lock:
+            return any(job.open for job in self._cluster.jobs.values())
 
     def _missing_cpus(self) -> float:
         """CPUs that teams could claim by their guarantees beyond what is spare. A machine takes longer to
@@ -278,7 +278,7 @@
         room for the guarantees is kept up."""
         if not self._working():
             return -1e9
-        claims = claimable_cpus(self._ledger.teams, self._used)
+        claims = claimable_cpus(self._cluster.teams, self._used)
         now = self._clock.now()
         coming = sum(boot.type.cpus for boot in self._booting.values() if not self._lost(boot, now))
         coming += sum(rent.count * kind.cpus for rent, kind in self._asking.values())
@@ -348,25 +348,25 @@
             self._settings.idle_ready_s if self.ready and self._working() else self._settings.idle_s
         )
         dear = seconds(self._settings.idle_ordinary_s)
-        with self._ledger.lock:
+        with self._cluster.lock:
             self._watch_zones(now)
-            for machine in self._ledger.machines.values():
+            for machine in self._cluster.machines.values():
                 if machine.name in self._releasing:
                     continue
                 reason = None
-                if self._ledger.silent(machine, now, self._silence):
+                if self._cluster.silent(machine, now, self._silence):
                     reason = "silent"
                 elif (
-                    machine.mute is not None
+                    machine.unanswered_since is not None
                     and machine.zone not in self._cut
-                    and self._ledger.silent(machine, now, self._early)
+                    and self._cluster.silent(machine, now, self._early)
                 ):
                     reason = "silent and does not answer"
-                elif machine.deaf is not None and now - machine.deaf > self._silence * 2:
+                elif machine.not_receiving is not None and now - machine.not_receiving > self._silence * 2:
                     reason = "does not hear"
                 elif machine.condemned and not machine.placed:
                     reason = "faulty"
-                elif any(now - sent > self._ledger.rules.lease / 2 for sent in machine.unsure_of_aborted()):
+                elif any(now - sent > self._cluster.rules.lease / 2 for sent in machine.unsure_of_aborted()):
                     # A start of an aborted job may still land there, and nothing else could take it back.
                     reason = "unsure start of an aborted job"
                 elif (
@@ -374,7 +374,9 @@
                     and not machine.placed
                     and now - machine.idle_since > (patience if machine.spot or self.ready else dear)
                 ):
-                    cpus = self._ledger.kinds[machine.type].cpus if machine.type in self._ledger.kinds else 0
+                    cpus = (
+                        self._cluster.kinds[machine.type].cpus if machine.type in self._cluster.kinds else 0
+                    )
                     if cpus <= extra:
                         extra -= cpus
                         reason = "idle"
@@ -392,8 +394,8 @@
         workers need some seconds to find a node that they reach, and it some more to vouch for them. It lasts
         until one there is heard: that all have been given up by then says nothing of the zone."""
         seen: dict[str, list[bool]] = {}
-        for machine in self._ledger.machines.values():
-            seen.setdefault(machine.zone, []).append(self._ledger.silent(machine, now, self._patience))
+        for machine in self._cluster.machines.values():
+            seen.setdefault(machine.zone, []).append(self._cluster.silent(machine, now, self._patience))
         for zone, silent in seen.items():
             if sum(silent) >= max(3, len(silent) / 2):
                 self._cut.add(zone)
@@ -401,8 +403,8 @@
                 self._cut.discard(zone)
 
     def _kind(self, name: str) -> Kind | None:
-        with self._ledger.lock:
-            machine = self._ledger.machines.get(name)
+        with self._cluster.lock:
+            machine = self._cluster.machines.get(name)
         if machine is not None:
             return (machine.type, machine.zone, machine.spot)
         boot = self._booting.get(name)
@@ -426,7 +428,7 @@
                 await sleep(self._clock, seconds(0.7))
                 continue
             for name, reason in names.items():
-                self._ledger.machine_gone(name, reason)
+                self._cluster.machine_gone(name, reason)
                 kind = self._releasing.pop(name, None)
                 if kind is not None:
                     self._refusals.given_back(kind, self._clock.now())
@@ -447,15 +449,15 @@
         now = self._clock.now()
         types = {machine_type.name: machine_type for machine_type in self._types()}
         failed: dict[str, str] = {}
-        with self._ledger.lock:
-            known, gone = set(self._ledger.machines), set(self._ledger.gone)
-            proven = {machine.name for machine in self._ledger.machines.values() if machine.proven}
+        with self._cluster.lock:
+            known, gone = set(self._cluster.machines), set(self._cluster.gone)
+            proven = {machine.name for machine in self._cluster.machines.values() if machine.proven}
             sessions = {
                 machine.name: max(assignment.session for assignment in machine.placed.values())
-                for machine in self._ledger.machines.values()
+                for machine in self._cluster.machines.values()
                 if machine.placed
             }
-        self._ledger.found(
+        self._cluster.found(
             [
                 (machine.name, machine.address, machine.zone)
                 for machine in listed
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -18,7 +18,7 @@
 from spindleglade.settings import Team
 from spindleglade.settings.operator import FleetSettings, WorkerSettings
 from spindleglade.workers.attempts import Machine
-from spindleglade.workers.test_ledger import make_ledger
+from spindleglade.workers.test_cluster import make_cluster
 
 SMALL = MachineType("s", 8.0, 32.0, 1.0, 0.3, 20.0, 50.0, 1.0, 0.0, ["a"])
 LARGE = MachineType("l", 32.0, 128.0, 4.2, 1.3, 30.0, 50.0, 1.0, 0.0, ["a"])
@@ -153,7 +153,7 @@
 
     def just_after_release(spot):
         fleet = manager(None, True, cloud, clock)
-        fleet._ledger.machines["n-1"] = Machine("n-1", "", "s", "a", spot, heard=clock.now())
+        fleet._cluster.machines["n-1"] = Machine("n-1", "", "s", "a", spot, heard=clock.now())
         fleet.demand(Plan(unmet=[Unmet(job("job-1", 4.0), 1, False)]))
         fleet.start()
         for _ in range(40):
@@ -232,7 +232,7 @@
     def asked(team, rank):
         clock, cloud = ManualClock(), NoSpot()
         fleet = manager(None, True, cloud, clock)
-        fleet._ledger.teams = TEAMS
+        fleet._cluster.teams = TEAMS
         fleet.start()
         for _ in range(70):
             fleet.demand(Plan(unmet=[Unmet(job("job-1", 4.0, team=team, rank=rank), 1, False)]))
@@ -254,7 +254,7 @@
 
 def test_a_zone_is_cut_off_from_when_most_of_it_falls_silent_until_one_there_is_heard():
     fleet = manager(None)
-    machines = fleet._ledger.machines
+    machines = fleet._cluster.machines
 
     def watch(at, **heard):
         machines.clear()
@@ -274,7 +274,7 @@
     """A fleet manager that is asked only for its judgement."""
     types = [MachineType("s", 8.0, 32.0, 1.0, 0.3, 20.0, 50.0, 0.25, 0.0, ["a"])]
     return FleetManager(
-        make_ledger(),
+        make_cluster(),
         cloud,
         clock or ManualClock(),
         7,
@@ -301,7 +301,7 @@
     """The cloud does what anybody asks, a leader of long ago too."""
     clock, cloud = ManualClock(), RecordingCloud()
     fleet = manager(None, proven, cloud, clock)
-    fleet._ledger.machines["n-1"] = Machine("n-1", "", "s", "a", True, heard=seconds(0))
+    fleet._cluster.machines["n-1"] = Machine("n-1", "", "s", "a", True, heard=seconds(0))
     fleet.demand(Plan(unmet=[Unmet(job("job-1", 4.0), 1, False)]))
     clock.advance(seconds(60))
     fleet.start()
--- a/spindleglade/reign.py
+++ b/spindleglade/leader.py
@@ -1,4 +1,4 @@
-"""All that a node does only while it leads: the ledger and everything that acts on it."""
+"""All that a node does only while it leads: the cluster and everything that acts on it."""
 
 import logging
 from collections.abc import Awaitable, Callable
@@ -41,16 +41,16 @@
 from spindleglade.tasks import spawn
 from spindleglade.web import Turns
 from spindleglade.workers.attempts import Deposed, Rules
-from spindleglade.workers.bound import CancellationBound
+from spindleglade.workers.cancellation_bound import CancellationBound
+from spindleglade.workers.cluster import Cluster
 from spindleglade.workers.dispatch import Dispatcher
-from spindleglade.workers.ledger import Ledger
 from spindleglade.workers.messages import Report, ReportAnswer
 from spindleglade.workers.recorder import Recorder
 
 log = logging.getLogger("spindleglade.leadership")
 
 
-class Reign:
+class Leader:
     def __init__(
         self,
         term: Term,
@@ -128,21 +128,21 @@
             seconds(own.backoff_most_s),
             seconds(self._settings.backfill.overdue_s),
         )
-        ledger = Ledger(
+        cluster = Cluster(
             self.term.token, rules, self._platform.teams, self._types.kinds(), self.predictor, now
         )
-        self.ledger = ledger
-        marks = self._read(ledger, listing.entries, now)
+        self.cluster = cluster
+        marks = self._read(cluster, listing.entries, now)
         assert self._early is not None
         for record, mark in self._early:
-            self._take(ledger, record, mark)
+            self._take(cluster, record, mark)
         self._early = None
-        ledger.loaded()
+        cluster.loaded()
         self._recorder = Recorder(
-            ledger, self._client, self._clock, self.term, marks, self._committed, self._deposed
+            cluster, self._client, self._clock, self.term, marks, self._committed, self._deposed
         )
         self._dispatcher = Dispatcher(
-            ledger,
+            cluster,
             self._machines,
             self._clock,
             seconds(own.order_timeout_s),
@@ -151,7 +151,7 @@
             self._bound,
         )
         self._fleet = FleetManager(
-            ledger,
+            cluster,
             self._cloud,
             self._clock,
             self.term.token,
@@ -167,7 +167,7 @@
             self._dispatcher.greet,
         )
         self._rounds = Rounds(
-            ledger,
+            cluster,
             Planner(self._settings.backfill.tau, self._settings.backfill.preempt),
             self._clock,
             self._compute,
@@ -179,8 +179,8 @@
         log.info(
             "took over token=%d jobs=%d placed=%d keys=%d",
             self.term.token,
-            len(ledger.jobs),
-            sum(len(job.placed) for job in ledger.jobs.values()),
+            len(cluster.jobs),
+            sum(len(job.placed) for job in cluster.jobs.values()),
             len(listing.entries),
         )
         self._recorder.start()
@@ -188,7 +188,7 @@
         self._fleet.start()
         spawn(self._keep(), "leader's upkeep", self._deposed)
 
-    def _read(self, ledger: Ledger, entries: list[Entry], now: timedelta) -> dict[str, int]:
+    def _read(self, cluster: Cluster, entries: list[Entry], now: timedelta) -> dict[str, int]:
         """Takes in what the store holds; returns the marks of the chunks. A record that cannot be read must
         not keep every node from leading: its job is left alone, neither placed, since its tasks may be on
         machines, nor tidied up."""
@@ -212,29 +212,29 @@
                 if not entry.key.startswith(HISTORY):
                     self._unreadable.add(entry.key.split("/")[2])
         for record, mark in records:
-            self._take(ledger, record, mark)
+            self._take(cluster, record, mark)
         for job, number, chunk in chunks:
             if job in self._unreadable:
                 marks.pop(chunk_key(job, number), None)
             else:
-                ledger.load_chunk(job, number, chunk, now)
+                cluster.load_chunk(job, number, chunk, now)
         return marks
 
     def job_changed(self, record: JobRecord, mark: int) -> None:
         if self._early is not None:
             self._early.append((record, mark))
             return
-        self._take(self.ledger, record, mark)
+        self._take(self.cluster, record, mark)
         self._changed()
 
-    def _take(self, ledger: Ledger, record: JobRecord, mark: int) -> None:
+    def _take(self, cluster: Cluster, record: JobRecord, mark: int) -> None:
         if record.spec.id in self._unreadable:
             return
         # The time of day differs a little from node to node; it may not make a job come from the future.
         age = timedelta(0)
         if record.accepted is not None:
             age = max(age, self._clock.utc() - record.accepted)
-        ledger.take_job(record, mark, self._clock.now(), age)
+        cluster.take_job(record, mark, self._clock.now(), age)
 
     @property
     def unheard(self) -> bool:
@@ -242,19 +242,19 @@
 
     def vouched(self, machines: list[str]) -> None:
         if self.active:
-            self.ledger.vouch(machines, self._clock.now())
+            self.cluster.vouch(machines, self._clock.now())
 
     def report(self, report: Report) -> ReportAnswer | None:
         """The answer, or nothing where the worker's lease must not be renewed. What the report says is taken
         in all the same: the machines used to be given up as silent while they were only not answered."""
-        before = self.ledger.changes
+        before = self.cluster.changes
         holds = self._bound.holds
         try:
-            orders = self.ledger.report(report, self._clock.now(), asked=holds)
+            orders = self.cluster.report(report, self._clock.now(), asked=holds)
         except Deposed as error:
             self._deposed(str(error))
             return None
-        if self.ledger.changes != before:
+        if self.cluster.changes != before:
             self._changed()
         return None if orders is None or not holds else ReportAnswer(self.term.token, orders)
 
@@ -282,16 +282,16 @@
             await sleep(self._clock, seconds(1))
             if not self.active:
                 return
-            self.ledger.learn_kinds(self._types.kinds())
-            self.ledger.ordinary_first = self._fleet.ready
+            self.cluster.learn_kinds(self._types.kinds())
+            self.cluster.ordinary_first = self._fleet.ready
             self._changed()
             if self._clock.now() - at >= timedelta(seconds=10):
                 at = self._clock.now()
                 await self._record_history()
 
     async def _record_history(self) -> None:
-        with self.ledger.lock:
-            teams, self.ledger.learned = self.ledger.learned, set()
+        with self.cluster.lock:
+            teams, self.cluster.learned = self.cluster.learned, set()
             writes = [Put(HISTORY + team, raw(self.predictor.export(team))) for team in sorted(teams)]
         most = self._client.limits.txn_ops
         for at in range(0, len(writes), most):
@@ -313,6 +313,6 @@
                     self._history_marks[key] = 0 if entry is None else entry.mark
             except (Unavailable, Unknown) as error:
                 log.info("histories not recorded reason=%s", error)
-            with self.ledger.lock:
-                self.ledger.learned |= teams
+            with self.cluster.lock:
+                self.cluster.learned |= teams
             return
--- a/spindleglade/leadership/election.py
+++ b/spindleglade/leadership/election.py
@@ -170,7 +170,7 @@
             return
         self._campaigning = True
         try:
-            # Spread the candidates, so that one usually wins before the others ask.
+            # ReportBalancer the candidates, so that one usually wins before the others ask.
             await sleep(self._clock, timedelta(seconds=self._rng.uniform(0, 0.05)))
             await self._replica.confirm()
             if not self._vacant():
--- a/spindleglade/settings/platform.py
+++ b/spindleglade/settings/platform.py
@@ -130,7 +130,7 @@
 
 
 def explain(error: Exception) -> tuple[str, str]:
-    """Field and reason out of a decoder's message."""
+    """MachineColumns and reason out of a decoder's message."""
     match = _WHERE.match(str(error).replace("\n", " "))
     assert match
     reason, field = match["reason"], match["field"] or ""
--- a/spindleglade/submissions/records.py
+++ b/spindleglade/submissions/records.py
@@ -120,12 +120,12 @@
         self.jobs: dict[str, JobView] = {}
         # Chunks of jobs not known yet: a listing reads the jobs before the chunks, and one accepted in
         # between shows its chunks first. They are not told again.
-        self.early: dict[str, dict[int, ChunkView]] = {}
+        self.chunks_before_job: dict[str, dict[int, ChunkView]] = {}
         # Every abort known, by the mark of its record.
         self._aborts: list[tuple[int, str]] = []
         # Aborted jobs whose tasks are not all on record as over yet, and where those may be.
-        self._lingering: set[str] = set()
-        self._where: set[tuple[str, int]] | None = set()
+        self._aborted_with_tasks: set[str] = set()
+        self._aborted_places: set[tuple[str, int]] | None = set()
 
     def aborts_since(self, turn: int) -> list[tuple[str, int]] | None:
         """The jobs known to be aborted, and the marks of their records, by changes after that revision; None
@@ -138,14 +138,14 @@
     def may_get_aborted(self, machine: str, session: int) -> bool:
         """Whether a task of an aborted job is on record as placed there: it may run, or its start may still
         be under way."""
-        if self._where is None:
-            self._where = {
+        if self._aborted_places is None:
+            self._aborted_places = {
                 where
-                for job in self._lingering
+                for job in self._aborted_with_tasks
                 for chunk in self.jobs[job].chunks.values()
                 for where in chunk.placed
             }
-        return (machine, session) in self._where
+        return (machine, session) in self._aborted_places
 
     def listener(self, key: str, value: bytes | None, mark: int) -> None:
         if key.startswith(JOBS):
@@ -155,19 +155,19 @@
             job = record.spec.id
             view = self.jobs.get(job)
             if view is None:
-                view = self.jobs[job] = JobView(record, self.early.pop(job, {}))
+                view = self.jobs[job] = JobView(record, self.chunks_before_job.pop(job, {}))
             view.record = record
             if record.stage == "done":
                 view.chunks = {}
             elif record.stage == "aborted":
                 insort(self._aborts, (mark, job))
-                self._linger(job, view)
+                self._note_remaining_tasks(job, view)
         elif key.startswith(TASKS):
             job, number = split_chunk_key(key)
             view = self.jobs.get(job)
             if view is not None and view.record.stage == "done":
                 return
-            chunks = self.early.setdefault(job, {}) if view is None else view.chunks
+            chunks = self.chunks_before_job.setdefault(job, {}) if view is None else view.chunks
             if value is None:
                 chunks.pop(number, None)
             else:
@@ -176,14 +176,14 @@
                 chunks[number] = ChunkView(chunk.count_done(), placed)
             if view is None:
                 if not chunks:
-                    del self.early[job]
+                    del self.chunks_before_job[job]
             elif view.record.stage == "aborted":
-                self._linger(job, view)
+                self._note_remaining_tasks(job, view)
 
-    def _linger(self, job: str, view: JobView) -> None:
-        self._where = None
+    def _note_remaining_tasks(self, job: str, view: JobView) -> None:
+        self._aborted_places = None
         if any(chunk.placed for chunk in view.chunks.values()):
-            self._lingering.add(job)
+            self._aborted_with_tasks.add(job)
         else:
             view.chunks = {}
-            self._lingering.discard(job)
+            self._aborted_with_tasks.discard(job)
--- a/spindleglade/submissions/test_submissions.py
+++ b/spindleglade/submissions/test_submissions.py
@@ -205,7 +205,7 @@
     # Chunks that are removed before their job is known leave nothing behind.
     views.listener(chunk_key("job-2", 0), raw(Chunk([(0, 1)])), 5)
     views.listener(chunk_key("job-2", 0), None, 6)
-    assert not views.early
+    assert not views.chunks_before_job
 
 
 class Service:
--- a/spindleglade/test_reign.py
+++ b/spindleglade/test_leader.py
@@ -6,14 +6,14 @@
 from twisted.internet.defer import Deferred
 
 from spindleglade.clock import ManualClock, seconds
+from spindleglade.leader import Leader
 from spindleglade.leadership.election import LEADER, Term
-from spindleglade.reign import Reign
 from spindleglade.settings import OperatorSettings
 from spindleglade.settings.platform import StateLimits
 from spindleglade.store.client import Committed, Entry, Refused, Unknown, raw
 from spindleglade.submissions.records import HISTORY, Chunk, JobRecord, Placement, chunk_key, job_key
 from spindleglade.tasks import spawn
-from spindleglade.workers.test_ledger import TOKEN, make_ledger, spec
+from spindleglade.workers.test_cluster import TOKEN, make_cluster, spec
 from tests.world import Deployment, platform
 
 
@@ -55,7 +55,7 @@
 
 def make(store):
     deposed = []
-    reign = Reign(
+    leader = Leader(
         Term(TOKEN, 5, 1),
         platform(0, Deployment()),
         OperatorSettings(),
@@ -69,15 +69,15 @@
         None,
         deposed.append,
     )
-    reign.ledger, reign.active = make_ledger(), True
-    return reign, deposed
+    leader.cluster, leader.active = make_cluster(), True
+    return leader, deposed
 
 
-def learn(reign, runs):
+def learn(leader, runs):
     for _ in range(runs):
-        reign.predictor.add("t", seconds(9))
-    reign.ledger.learned = {"t"}
-    spawn(reign._record_history(), "history")
+        leader.predictor.add("t", seconds(9))
+    leader.cluster.learned = {"t"}
+    spawn(leader._record_history(), "history")
 
 
 def runs_on_record(store):
@@ -87,44 +87,44 @@
 def test_a_late_history_does_not_undo_a_newer_one():
     """They were conditional on the leader key alone, which is the same for all of a term."""
     store = Store(late=[1])
-    reign, deposed = make(store)
-    learn(reign, 1)
-    assert reign.ledger.learned == {"t"}
-    learn(reign, 1)
-    assert runs_on_record(store) == 2 and not reign.ledger.learned
+    leader, deposed = make(store)
+    learn(leader, 1)
+    assert leader.cluster.learned == {"t"}
+    learn(leader, 1)
+    assert runs_on_record(store) == 2 and not leader.cluster.learned
     store.land()
     assert runs_on_record(store) == 2 and not deposed
 
 
 def test_a_late_history_that_came_first_is_written_over():
     store = Store(late=[1])
-    reign, deposed = make(store)
-    learn(reign, 1)
+    leader, deposed = make(store)
+    learn(leader, 1)
     store.land()
-    learn(reign, 1)
+    learn(leader, 1)
     # Refused: what is there was read, and it is written the next time.
-    assert runs_on_record(store) == 1 and reign.ledger.learned == {"t"}
-    learn(reign, 1)
+    assert runs_on_record(store) == 1 and leader.cluster.learned == {"t"}
+    learn(leader, 1)
     assert runs_on_record(store) == 3 and not deposed
 
 
 def test_a_refused_history_deposes_its_own_term_only():
     store = Store()
     store.keys[LEADER] = (b"{}", 6)
-    reign, deposed = make(store)
-    learn(reign, 1)
+    leader, deposed = make(store)
+    learn(leader, 1)
     assert len(deposed) == 1 and HISTORY + "t" not in store.keys
     # An answer that comes after the term is over says nothing to the next, which may be this node's.
     store.slow = Deferred()
-    learn(reign, 1)
-    reign.active = False
+    learn(leader, 1)
+    leader.active = False
     store.slow.callback(None)
     assert len(deposed) == 1
 
 
 def test_a_record_that_cannot_be_read_stops_no_leader_and_its_job_is_left_alone():
     """One such record, and no node could lead: each broke in taking over."""
-    reign, _ = make(Store())
+    leader, _ = make(Store())
     opened = {id: raw(JobRecord("open", spec(id), 256)) for id in ("job-1", "job-2", "job-3")}
     chunk = raw(Chunk(placed={0: Placement(1, "n-1", 1)}))
     entries = [
@@ -138,9 +138,9 @@
         Entry(chunk_key("job-3", 1), raw({"placed": 3}), 9),
         Entry("sg/task/job-4/x", chunk, 10),
     ]
-    marks = reign._read(reign.ledger, entries, timedelta(0))
-    assert set(reign.ledger.jobs) == {"job-1"} and marks == {chunk_key("job-1", 0): 6}
-    assert [job for job, _ in reign.ledger.dirty] == []
+    marks = leader._read(leader.cluster, entries, timedelta(0))
+    assert set(leader.cluster.jobs) == {"job-1"} and marks == {chunk_key("job-1", 0): 6}
+    assert [job for job, _ in leader.cluster.dirty] == []
     # Nor when the replica tells of it later.
-    reign._take(reign.ledger, JobRecord("open", spec("job-3"), 256), 5)
-    assert set(reign.ledger.jobs) == {"job-1"}
+    leader._take(leader.cluster, JobRecord("open", spec("job-3"), 256), 5)
+    assert set(leader.cluster.jobs) == {"job-1"}
--- a/spindleglade/workers/api.py
+++ b/spindleglade/workers/api.py
@@ -16,9 +16,9 @@
 from spindleglade.clock import Clock
 from spindleglade.submissions.records import JobViews
 from spindleglade.web import Answer
-from spindleglade.workers.bound import CancellationBound
+from spindleglade.workers.balancer import ReportBalancer, Solitude
+from spindleglade.workers.cancellation_bound import CancellationBound
 from spindleglade.workers.messages import Report, ReportAnswer, decode_report, split_task
-from spindleglade.workers.spread import Solitude, Spread
 
 log = logging.getLogger("spindleglade.workers")
 
@@ -40,7 +40,7 @@
         leads: Callable[[], bool],
         relay: Callable[[bytes], Awaitable[bytes | None]],
         saw_token: Callable[[int], None],
-        spread: Spread,
+        spread: ReportBalancer,
         solitude: Solitude,
     ) -> None:
         self._clock = clock
@@ -51,7 +51,7 @@
         self._leads = leads
         self._relay = relay
         self._saw_token = saw_token
-        self._spread = spread
+        self._balancer = spread
         self._solitude = solitude
         # The newest report of each worker that came here: session and tally.
         self._newest: dict[str, tuple[int, int]] = {}
@@ -70,10 +70,10 @@
         newest = (report.session, report.tally) > self._newest.get(report.machine, (0, 0))
         if newest:
             self._newest[report.machine] = (report.session, report.tally)
-            node = self._spread.elsewhere(report.machine)
+            node = self._balancer.elsewhere(report.machine)
             if node is not None:
                 return _elsewhere(node)
-            self._spread.reported(report.machine)
+            self._balancer.reported(report.machine)
         if self._leads():
             answer = self.lead(report)
             if answer is not None:
--- a/spindleglade/workers/attempts.py
+++ b/spindleglade/workers/attempts.py
@@ -1,4 +1,4 @@
-"""What the leader's book is made of: jobs, attempts of their tasks, machines, and what one write records."""
+"""The parts of the leader's cluster state: jobs, attempts of their tasks, machines, and one write's batch."""
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -82,7 +82,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Lying:
+class ExitedAttempt:
     """An exited attempt that the worker still reports; cleared once its end is recorded."""
 
     job: "Job | None"
@@ -197,10 +197,10 @@
     # When a sibling that cannot reach this leader last said, through the store, that it renews its lease.
     vouched: timedelta | None = None
     # When a message straight to it last went unanswered since it was heard.
-    mute: timedelta | None = None
+    unanswered_since: timedelta | None = None
     # Since when there is reason to think that it does not hear: its reports come, but what is sent to it
     # does not arrive.
-    deaf: timedelta | None = None
+    not_receiving: timedelta | None = None
     # When a message of this leader last reached it, and when one last went unanswered.
     reached: timedelta | None = None
     unreached: timedelta | None = None
@@ -216,7 +216,7 @@
     releasing: bool = False
     full_until: timedelta = timedelta(0)
     placed: dict[tuple[str, int], Assignment] = field(default_factory=dict)
-    lying: dict[tuple[str, int], Lying] = field(default_factory=dict)
+    exited: dict[tuple[str, int], ExitedAttempt] = field(default_factory=dict)
     # Attempts whose start was sent straight here and never answered: it may still land, so they are never
     # cleared in this session, nor taken as over for being absent. Value: when it was sent.
     unsure: dict[tuple[str, int], timedelta] = field(default_factory=dict)
--- a/spindleglade/workers/spread.py
+++ b/spindleglade/workers/balancer.py
@@ -23,7 +23,7 @@
     leads: bool
 
 
-class Spread:
+class ReportBalancer:
     def __init__(self, clock: Clock, report: timedelta, siblings: int, steady: timedelta) -> None:
         self._clock = clock
         self._recent = report * 2
--- a/spindleglade/workers/ledger.py
+++ b/spindleglade/workers/cluster.py
@@ -1,8 +1,8 @@
-"""The leader's book of jobs, tasks and machines: what is recorded, what is on which machine, what is proven.
+"""The leader's cluster state: jobs, tasks and machines, what is recorded, placed and proven over.
 
-The book decides nothing about placement and does no I/O. It takes in records, reports and results, and gives
-out three things: chunks to write, orders to send, snapshots to plan on. Every public method takes the lock
-for as long as it runs and calls nothing outside.
+It decides nothing about placement and does no I/O. It takes in records, reports and results, and gives out
+three things: chunks to write, orders to send, snapshots to plan on. Every public method takes the lock for as
+long as it runs and calls nothing outside.
 
 How a task comes to be taken off a machine is the heart of it. Silence proves nothing. Proof is: a report of
 the same session under this leader's own token, newer than the last, that lacks the attempt while no start of
@@ -21,8 +21,8 @@
 log = logging.getLogger("spindleglade.workers")
 
 
-class Ledger(Intake, Recording, Placing):
-    """All chapters of the book, and what the cloud and the siblings say of machines."""
+class Cluster(Intake, Recording, Placing):
+    """All parts of the cluster state, and what the cloud and the siblings say of machines."""
 
     def machine_gone(self, name: str, reason: str) -> None:
         """The cloud has said that the machine and all on it are gone."""
--- a/spindleglade/workers/book.py
+++ b/spindleglade/workers/cluster_base.py
@@ -1,7 +1,7 @@
-"""The leader's book: jobs, tasks and machines, what is on which, and the changes that every chapter makes.
+"""The base of the leader's cluster state: jobs, tasks, machines, and the changes that all its parts make.
 
-Its chapters are `intake` (what workers say), `orders` (what they are told), `recording` (what the store
-holds) and `placing` (what planning sees and decides); `ledger` binds them. All are under one lock. The
+Its parts are `intake` (what workers say), `orders` (what they are told), `recording` (what the store
+holds) and `placing` (what planning sees and decides); `cluster` binds them. All are under one lock. The
 methods here are called with it held.
 """
 
@@ -25,7 +25,7 @@
 log = logging.getLogger("spindleglade.workers")
 
 
-class Book:
+class ClusterBase:
     def __init__(
         self,
         token: int,
@@ -133,10 +133,10 @@
         for number in range((len(job.state) - 1) // job.chunk + 1):
             job.committed_versions[number] = FOREVER
 
-    def _deaf(self, machine: Machine, now: timedelta, reason: str) -> None:
+    def _not_receiving(self, machine: Machine, now: timedelta, reason: str) -> None:
         """Hearing a machine is not being heard by it. Nothing more is placed there until something shows that
         messages arrive; its tasks are moved on proof only, as ever."""
-        if machine.deaf is None:
+        if machine.not_receiving is None:
             log.info("machine does not hear machine=%s reason=%s", machine.name, reason)
-            machine.deaf = now
+            machine.not_receiving = now
             self.changes += 1
--- a/spindleglade/workers/dispatch.py
+++ b/spindleglade/workers/dispatch.py
@@ -10,8 +10,8 @@
 from spindleglade.tasks import spawn
 from spindleglade.web import Crowded, NoAnswer, NotSent, Requester, Response
 from spindleglade.workers.attempts import Deposed, Machine
-from spindleglade.workers.bound import CancellationBound
-from spindleglade.workers.ledger import Ledger
+from spindleglade.workers.cancellation_bound import CancellationBound
+from spindleglade.workers.cluster import Cluster
 from spindleglade.workers.messages import Order, Orders, Report, decode_report
 
 log = logging.getLogger("spindleglade.workers")
@@ -20,7 +20,7 @@
 class Dispatcher:
     def __init__(
         self,
-        ledger: Ledger,
+        cluster: Cluster,
         http: Requester,
         clock: Clock,
         timeout: timedelta,
@@ -28,7 +28,7 @@
         changed: Callable[[], None],
         bound: CancellationBound,
     ) -> None:
-        self._ledger = ledger
+        self._cluster = cluster
         self._http = http
         self._clock = clock
         self._timeout = timeout
@@ -43,7 +43,7 @@
     def send(self) -> None:
         if self._stopped:
             return
-        for machine, session, orders in self._ledger.to_send(self._clock.now(), self._bound.holds):
+        for machine, session, orders in self._cluster.to_send(self._clock.now(), self._bound.holds):
             spawn(self._send(machine, session, orders), "send")
 
     def greet(self, address: str, session: int) -> None:
@@ -54,7 +54,7 @@
 
     async def _greet(self, address: str, session: int) -> None:
         for _ in range(2):
-            body = msgspec.json.encode(Orders(self._ledger.token, session, []))
+            body = msgspec.json.encode(Orders(self._cluster.token, session, []))
             try:
                 answer = await self._http.request("POST", address, "/orders", body, self._timeout)
             except NoAnswer as error:
@@ -67,7 +67,7 @@
             session = report.session
 
     async def _send(self, machine: Machine, session: int, orders: list[Order]) -> None:
-        body = msgspec.json.encode(Orders(self._ledger.token, session, orders))
+        body = msgspec.json.encode(Orders(self._cluster.token, session, orders))
         unsure, reached, answer = False, True, None
         try:
             answer = await self._http.request("POST", machine.address, "/orders", body, self._timeout)
@@ -83,15 +83,15 @@
             log.info("orders unanswered machine=%s orders=%d reason=%s", machine.name, len(orders), error)
         if answer is not None and answer.status not in (200, 400, 409):
             unsure = True
-        self._ledger.sent(machine, orders, unsure, self._clock.now(), reached)
+        self._cluster.sent(machine, orders, unsure, self._clock.now(), reached)
         if answer is not None:
-            self._ledger.hears(machine, self._clock.now())
+            self._cluster.hears(machine, self._clock.now())
             self._take(answer, machine.address)
 
     async def show(self, machine: Machine) -> None:
         """Asks a machine how it is, and takes in its report. Raises NoAnswer."""
         answer = await self._http.request("GET", machine.address, "/show", None, self._timeout)
-        self._ledger.hears(machine, self._clock.now())
+        self._cluster.hears(machine, self._clock.now())
         self._take(answer, machine.address)
 
     def _take(self, answer: Response, address: str) -> Report | None:
@@ -100,7 +100,7 @@
             return None
         try:
             report = decode_report(answer.body)
-            self._ledger.report(report, self._clock.now(), asked=False)
+            self._cluster.report(report, self._clock.now(), asked=False)
         except msgspec.DecodeError as error:
             log.warning("answer not understood address=%s reason=%s", address, error)
             return None
--- a/spindleglade/workers/intake.py
+++ b/spindleglade/workers/intake.py
@@ -3,7 +3,16 @@
 import logging
 from datetime import timedelta
 
-from spindleglade.workers.attempts import DONE, WAITING, Assignment, Deposed, Job, Lying, Machine, slack
+from spindleglade.workers.attempts import (
+    DONE,
+    WAITING,
+    Assignment,
+    Deposed,
+    ExitedAttempt,
+    Job,
+    Machine,
+    slack,
+)
 from spindleglade.workers.messages import Order, Report, TaskReport, split_task
 from spindleglade.workers.orders import Orders
 
@@ -40,14 +49,14 @@
             self.heard = machine.heard = now
             if asked:
                 machine.reported = now
-            machine.mute = None
+            machine.unanswered_since = None
             if (
-                machine.deaf is not None
+                machine.not_receiving is not None
                 and report.session == machine.session
-                and now - machine.deaf > self.rules.lease + self.rules.report
+                and now - machine.not_receiving > self.rules.lease + self.rules.report
             ):
                 # Its lease would have run out, had no answer reached it since.
-                machine.deaf = None
+                machine.not_receiving = None
             if asked and self._unchanged(machine, report):
                 machine.tally, machine.answered = report.tally, now
                 return []
@@ -81,7 +90,7 @@
             machine.proven
             and machine.leaves is None
             and len(machine.tasks) == len(machine.placed)
-            and not (machine.strays or machine.lying or machine.unsure)
+            and not (machine.strays or machine.exited or machine.unsure)
             and all(
                 assignment.seen and assignment.stop is None and assignment.session == machine.session
                 for assignment in machine.placed.values()
@@ -130,8 +139,8 @@
                 assignment.answered = None
                 if entry is None:
                     assignment.lost += 1
-                    if assignment.lost >= 2 and machine.deaf is None:
-                        self._deaf(machine, now, "its starts do not show")
+                    if assignment.lost >= 2 and machine.not_receiving is None:
+                        self._not_receiving(machine, now, "its starts do not show")
             if entry is not None:
                 self._present(machine, assignment, entry, now)
             elif current:
@@ -139,11 +148,11 @@
             if not assignment.over and (not assignment.seen or assignment.stop is not None):
                 self.due[machine.name] = None
         machine.strays.clear()
-        for key in [key for key in machine.lying if key not in listed]:
+        for key in [key for key in machine.exited if key not in listed]:
             # Cleared. An unsure start of it could still land, so that mark stays.
-            del machine.lying[key]
+            del machine.exited[key]
         for key, entry in reported.items():
-            if key not in machine.lying:
+            if key not in machine.exited:
                 self._stray(machine, key, entry, current)
         if machine.placed:
             machine.idle_since = None
@@ -155,20 +164,20 @@
         self._touch(machine)
         if machine.answered is not None and now - machine.answered < self.rules.lease:
             # Its reports were answered all the time, yet its lease ran out.
-            self._deaf(machine, now, "its lease ran out though its reports were answered")
+            self._not_receiving(machine, now, "its lease ran out though its reports were answered")
         machine.answered = None
         for assignment in list(machine.placed.values()):
             if assignment.session < session:
                 self._over(assignment, "its session ended")
         machine.session, machine.tally, machine.proven = session, -1, False
-        machine.lying.clear()
+        machine.exited.clear()
         machine.unsure.clear()
 
     def _present(self, machine: Machine, assignment: Assignment, entry: TaskReport, now: timedelta) -> None:
         first = not assignment.seen
         assignment.seen = True
         if first and not assignment.loaded:
-            machine.deaf = None
+            machine.not_receiving = None
         job = assignment.job
         if entry.on:
             if entry.stage == "running" and assignment.stage != "running" and not first:
@@ -210,7 +219,7 @@
             image,
         )
         self._over(assignment, None)
-        machine.lying[(assignment.task, assignment.attempt)] = Lying(
+        machine.exited[(assignment.task, assignment.attempt)] = ExitedAttempt(
             job,
             assignment.index,
             job.versions.get(assignment.index // job.chunk, 0),
@@ -284,9 +293,9 @@
             job.state[index] = DONE
             job.done += 1
             self._changed(job, index)
-            machine.lying[key] = Lying(job, index, job.versions[index // job.chunk])
+            machine.exited[key] = ExitedAttempt(job, index, job.versions[index // job.chunk])
         else:
-            machine.lying[key] = Lying(None, 0, 0)
+            machine.exited[key] = ExitedAttempt(None, 0, 0)
 
     def _have_image(self, machine: Machine, job: Job) -> None:
         machine.images[job.spec.image] = job.spec.image_gb
--- a/spindleglade/workers/orders.py
+++ b/spindleglade/workers/orders.py
@@ -4,11 +4,11 @@
 from datetime import timedelta
 
 from spindleglade.workers.attempts import MOST_ORDERS, Assignment, Machine
-from spindleglade.workers.book import Book
+from spindleglade.workers.cluster_base import ClusterBase
 from spindleglade.workers.messages import Order, split_task
 
 
-class Orders(Book):
+class Orders(ClusterBase):
     def _orders(
         self, machine: Machine, now: timedelta, tally: int | None, starts: bool = True
     ) -> list[Order]:
@@ -34,9 +34,9 @@
         """Clears and stops; what does not fit is told the next time."""
         orders: list[Order] = []
         if machine.proven:
-            for (task, attempt), lying in machine.lying.items():
+            for (task, attempt), exited in machine.exited.items():
                 # After `clear` a start that lands late would start the task again.
-                if lying.recorded and not lying.kept and (task, attempt) not in machine.unsure:
+                if exited.recorded and not exited.kept and (task, attempt) not in machine.unsure:
                     orders.append(Order("clear", task, attempt))
             for (task, attempt), stage in machine.strays.items():
                 if stage != "saving":
@@ -78,7 +78,7 @@
                     machine is None
                     or machine.sending
                     or machine.releasing
-                    or machine.deaf is not None
+                    or machine.not_receiving is not None
                     or not machine.address
                     or not machine.proven
                     or not any(self._pressing(machine, assignment) for assignment in machine.placed.values())
@@ -111,7 +111,7 @@
             self.due[machine.name] = None
             if unsure or not reached:
                 machine.unreached = now
-                self._deaf(machine, now, "does not answer orders")
+                self._not_receiving(machine, now, "does not answer orders")
             for order in orders:
                 if order.verb != "start":
                     continue
@@ -125,7 +125,7 @@
     def hears(self, machine: Machine, now: timedelta) -> None:
         """A message has reached the machine: it answered one, or did what one said."""
         with self.lock:
-            machine.deaf = None
+            machine.not_receiving = None
             machine.reached = now
             self.due[machine.name] = None
 
--- a/spindleglade/workers/placing.py
+++ b/spindleglade/workers/placing.py
@@ -1,18 +1,18 @@
-"""What planning sees of the book, and the taking over of its plans."""
+"""What planning sees of the cluster state, and the taking over of its plans."""
 
 import logging
 from datetime import timedelta
 
 from spindleglade.backfill.snapshot import Plan, Snapshot
 from spindleglade.workers.attempts import PLACED, WAITING, Assignment, Job, Machine, MachineKind, slack
-from spindleglade.workers.book import Book
+from spindleglade.workers.cluster_base import ClusterBase
 from spindleglade.workers.messages import split_task
 from spindleglade.workers.views import NO_KIND, job_view, machine_view
 
 log = logging.getLogger("spindleglade.workers")
 
 
-class Placing(Book):
+class Placing(ClusterBase):
     def learn_kinds(self, kinds: dict[str, MachineKind]) -> None:
         """What the cloud says of the machine types. A machine that reported before they were known was kept
         as one without any room: it changed in nothing, so it was never looked at again. Where a leader came
@@ -32,7 +32,7 @@
         return (
             machine.proven
             and machine.leaves is None
-            and machine.deaf is None
+            and machine.not_receiving is None
             and not machine.condemned
             and not machine.releasing
             and machine.type in self.kinds
@@ -55,7 +55,7 @@
                     job: count for job, (count, until) in machine.claims.items() if until > now and count > 0
                 }
                 machines.append(view)
-                if machine.lying or machine.unsure:
+                if machine.exited or machine.unsure:
                     self._bar(machine, barred)
             room = max((kind.cpus for kind in self.kinds.values()), default=0.0)
             jobs = []
@@ -83,7 +83,7 @@
 
     def _bar(self, machine: Machine, barred: dict[str, dict[int, set[str]]]) -> None:
         """Tasks that wait again, and may not come back here while an older attempt lies here uncleared."""
-        for task, _ in [*machine.lying, *machine.unsure]:
+        for task, _ in [*machine.exited, *machine.unsure]:
             job_id, index = split_task(task)
             job = self.jobs.get(job_id)
             if job is not None and 0 <= index < len(job.state) and job.state[index] == WAITING:
--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -1,4 +1,4 @@
-"""Writes the ledger's chunks in group commits, each conditional on the leader key.
+"""Writes the cluster's chunks in group commits, each conditional on the leader key.
 
 One transaction is under way at a time. Every chunk is conditional on its own mark as well: a transaction
 whose answer was lost may be applied late, and must not undo a newer one.
@@ -28,7 +28,7 @@
 from spindleglade.submissions.records import JOBS, JobRecord, chunk_key, job_key
 from spindleglade.tasks import spawn
 from spindleglade.workers.attempts import Batch
-from spindleglade.workers.ledger import Ledger
+from spindleglade.workers.cluster import Cluster
 
 log = logging.getLogger("spindleglade.workers")
 
@@ -39,7 +39,7 @@
 class Recorder:
     def __init__(
         self,
-        ledger: Ledger,
+        cluster: Cluster,
         client: StateClient,
         clock: Clock,
         term: Term,
@@ -47,7 +47,7 @@
         committed: Callable[[], None],
         deposed: Callable[[str], None],
     ) -> None:
-        self._ledger = ledger
+        self._cluster = cluster
         self._client = client
         self._clock = clock
         self._term = term
@@ -74,11 +74,11 @@
 
     async def _run(self) -> None:
         while not self._stopped:
-            batch = self._ledger.collect(self._most, self._marks, self._client.spare_writes)
+            batch = self._cluster.collect(self._most, self._marks, self._client.spare_writes)
             if batch.size == 0:
                 for job in batch.over:
-                    self._ledger.forget(job)
-                if self._ledger.dirty:
+                    self._cluster.forget(job)
+                if self._cluster.dirty:
                     # Only what nobody waits for: it gathers until there are changes to spare.
                     await sleep(self._clock, timedelta(seconds=0.1))
                 elif not batch.over:
@@ -94,7 +94,7 @@
                     for job, _, number, _, _ in batch.chunks:
                         # It may be there. Else that of a job aborted meanwhile would be left in the store.
                         self._marks.setdefault(chunk_key(job, number), 0)
-                self._ledger.put_back(batch)
+                self._cluster.put_back(batch)
                 await sleep(self._clock, timedelta(seconds=0.3))
                 continue
             if self._stopped:
@@ -106,7 +106,7 @@
                 self._deposed("a record was refused")
                 return
             else:
-                self._ledger.put_back(batch)
+                self._cluster.put_back(batch)
                 await self._reread(result)
 
     def _fit(self, batch: Batch) -> None:
@@ -122,7 +122,7 @@
         batch.chunks = batch.chunks[:kept]
         if size > MOST_BYTES // 2 and batch.done:
             back.done, batch.done = batch.done, []
-        self._ledger.put_back(back)
+        self._cluster.put_back(back)
 
     async def _write(self, batch: Batch) -> Committed | Refused:
         when = {LEADER: self._term.mark}
@@ -155,13 +155,13 @@
                 self._marks.pop(key, None)
             else:
                 self._marks[key] = turn
-            self._ledger.committed(job, number, version)
+            self._cluster.committed(job, number, version)
         for job, _, _ in batch.done:
-            self._ledger.finished(job, turn)
+            self._cluster.finished(job, turn)
         for _, key in batch.removed:
             self._marks.pop(key, None)
         for job in batch.over:
-            self._ledger.forget(job)
+            self._cluster.forget(job)
 
     async def _reread(self, result: Refused) -> None:
         """The marks we hold are not the store's: a write of ours was applied though its answer was lost, or
@@ -187,6 +187,6 @@
             log.error("job record not understood key=%s reason=%s", key, error)
             await sleep(self._clock, timedelta(seconds=0.05))
             return
-        self._ledger.take_job(record, entry.mark)
+        self._cluster.take_job(record, entry.mark)
         # There may be tasks to stop.
         self._committed()
--- a/spindleglade/workers/recording.py
+++ b/spindleglade/workers/recording.py
@@ -1,13 +1,13 @@
-"""What the store holds of the book: reading it, and what of it is to be written next."""
+"""What the store holds of the cluster state: reading it, and what of it is to be written next."""
 
 from datetime import timedelta
 
 from spindleglade.submissions.records import TASKS, Chunk, JobRecord, chunk_key
 from spindleglade.workers.attempts import DONE, PLACED, ZERO, Assignment, Batch, Job, Machine
-from spindleglade.workers.book import Book
+from spindleglade.workers.cluster_base import ClusterBase
 
 
-class Recording(Book):
+class Recording(ClusterBase):
     def take_job(self, record: JobRecord, mark: int, now: timedelta = ZERO, age: timedelta = ZERO) -> None:
         """A job record, from the first reading or from a later change; `age` is the time since the job was
         accepted."""
--- a/spindleglade/workers/test_recorder.py
+++ b/spindleglade/workers/test_recorder.py
@@ -9,8 +9,8 @@
 
 from spindleglade.backfill.snapshot import Plan, Start
 from spindleglade.clock import ManualClock, seconds
+from spindleglade.leader import Leader
 from spindleglade.leadership.election import LEADER, Term
-from spindleglade.reign import Reign
 from spindleglade.settings import OperatorSettings
 from spindleglade.settings.platform import StateLimits
 from spindleglade.store.client import (
@@ -27,7 +27,7 @@
 from spindleglade.web import NoAnswer, Response
 from spindleglade.workers.messages import Report, TaskReport
 from spindleglade.workers.recorder import Recorder
-from spindleglade.workers.test_ledger import TOKEN, make_ledger, spec
+from spindleglade.workers.test_cluster import TOKEN, make_cluster, spec
 from tests.standins import StateService
 from tests.world import Deployment, platform
 
@@ -66,28 +66,28 @@
 
 
 def record(store, tasks):
-    """A ledger with that many tasks placed, and a recorder that has been given time."""
-    ledger, clock, deposed = make_ledger(), ManualClock(), []
-    ledger.teams = {}
-    ledger.take_job(JobRecord("open", spec(tasks=tasks), 256), 1)
-    ledger.report(Report("n-0000000231", "x:1", "m", "z", True, 1, 1, TOKEN, []), clock.now(), True)
-    ledger.apply(Plan(starts=[Start("job-1", index, "n-0000000231") for index in range(tasks)]), clock.now())
-    recorder = Recorder(ledger, store, clock, Term(TOKEN, 5, 1), {}, lambda: None, deposed.append)
+    """A cluster with that many tasks placed, and a recorder that has been given time."""
+    cluster, clock, deposed = make_cluster(), ManualClock(), []
+    cluster.teams = {}
+    cluster.take_job(JobRecord("open", spec(tasks=tasks), 256), 1)
+    cluster.report(Report("n-0000000231", "x:1", "m", "z", True, 1, 1, TOKEN, []), clock.now(), True)
+    cluster.apply(Plan(starts=[Start("job-1", index, "n-0000000231") for index in range(tasks)]), clock.now())
+    recorder = Recorder(cluster, store, clock, Term(TOKEN, 5, 1), {}, lambda: None, deposed.append)
     recorder.start()
     for _ in range(50):
         clock.advance(seconds(0.1))
-    return ledger, deposed
+    return cluster, deposed
 
 
-def recorded(ledger):
-    return sum(assignment.recorded for assignment in ledger.jobs["job-1"].placed.values())
+def recorded(cluster):
+    return sum(assignment.recorded for assignment in cluster.jobs["job-1"].placed.values())
 
 
 def test_a_transaction_stays_within_the_services_size():
     """Eleven full chunks are more than the 64 KiB of a transaction; the refusal repeated for ever."""
     store = Store()
-    ledger, _ = record(store, 6000)
-    assert recorded(ledger) == 6000 and len(store.sizes) > 2
+    cluster, _ = record(store, 6000)
+    assert recorded(cluster) == 6000 and len(store.sizes) > 2
 
 
 @pytest.mark.parametrize(
@@ -95,22 +95,22 @@
 )
 def test_what_was_lost_is_recorded_in_the_end(fates):
     store = Store(fates)
-    ledger, deposed = record(store, 3)
-    assert recorded(ledger) == 3 and not deposed and chunk_key("job-1", 0) in store.marks
+    cluster, deposed = record(store, 3)
+    assert recorded(cluster) == 3 and not deposed and chunk_key("job-1", 0) in store.marks
 
 
 def test_nothing_of_an_aborted_job_is_recorded_as_placed():
     store = Store()
     store.marks[job_key("job-1")] = 9
-    ledger, deposed = record(store, 3)
-    assert recorded(ledger) == 0 and not deposed and chunk_key("job-1", 0) not in store.marks
+    cluster, deposed = record(store, 3)
+    assert recorded(cluster) == 0 and not deposed and chunk_key("job-1", 0) not in store.marks
 
 
 def test_a_deposed_leader_writes_nothing():
     store = Store()
     store.marks[LEADER] = 6
-    ledger, deposed = record(store, 3)
-    assert recorded(ledger) == 0 and deposed and chunk_key("job-1", 0) not in store.marks
+    cluster, deposed = record(store, 3)
+    assert recorded(cluster) == 0 and deposed and chunk_key("job-1", 0) not in store.marks
 
 
 def test_a_refused_job_record_is_read_not_waited_for():
@@ -119,29 +119,29 @@
     store = Store()
     store.marks[job_key("job-1")] = 9
     store.values[job_key("job-1")] = raw(JobRecord("aborted", spec(tasks=3), 256))
-    ledger, deposed = record(store, 3)
-    assert "job-1" not in ledger.jobs and not deposed and len(store.sizes) == 1
+    cluster, deposed = record(store, 3)
+    assert "job-1" not in cluster.jobs and not deposed and len(store.sizes) == 1
 
 
 def aborted(store, tasks, at_s):
     """What is left of a job's chunks in the store; it is aborted at that time, and its machine gone."""
-    ledger, clock = make_ledger(), ManualClock()
-    ledger.teams = {}
-    ledger.take_job(JobRecord("open", spec(tasks=tasks), 256), 1)
-    ledger.report(Report("n-1", "x:1", "m", "z", True, 1, 1, TOKEN, []), clock.now(), True)
-    ledger.apply(Plan(starts=[Start("job-1", index, "n-1") for index in range(tasks)]), clock.now())
-    recorder = Recorder(ledger, store, clock, Term(TOKEN, 5, 1), {}, lambda: None, lambda reason: None)
+    cluster, clock = make_cluster(), ManualClock()
+    cluster.teams = {}
+    cluster.take_job(JobRecord("open", spec(tasks=tasks), 256), 1)
+    cluster.report(Report("n-1", "x:1", "m", "z", True, 1, 1, TOKEN, []), clock.now(), True)
+    cluster.apply(Plan(starts=[Start("job-1", index, "n-1") for index in range(tasks)]), clock.now())
+    recorder = Recorder(cluster, store, clock, Term(TOKEN, 5, 1), {}, lambda: None, lambda reason: None)
     recorder.start()
     clock.advance(seconds(at_s))
     store.marks[job_key("job-1")] = 90
     store.values[job_key("job-1")] = raw(JobRecord("aborted", spec(tasks=tasks), 256))
-    ledger.take_job(JobRecord("aborted", spec(tasks=tasks), 256), 90)
-    ledger.machine_gone("n-1", "test")
+    cluster.take_job(JobRecord("aborted", spec(tasks=tasks), 256), 90)
+    cluster.machine_gone("n-1", "test")
     recorder.wake()
     for _ in range(50):
         clock.advance(seconds(0.1))
         recorder.wake()
-    assert not ledger.jobs
+    assert not cluster.jobs
     return [key for key in store.marks if key.startswith(TASKS)]
 
 
@@ -173,43 +173,43 @@
 def test_an_abort_at_the_end_of_the_last_task_is_not_written_over():
     """The user was told that the job is cancelled; the leader has just seen its last task done."""
     store = Store()
-    ledger, clock = make_ledger(), ManualClock()
-    ledger.take_job(JobRecord("open", spec(tasks=1), 256), 1)
-    ledger.load_chunk("job-1", 0, Chunk(done=[(0, 0)]), clock.now())
-    ledger.loaded()
+    cluster, clock = make_cluster(), ManualClock()
+    cluster.take_job(JobRecord("open", spec(tasks=1), 256), 1)
+    cluster.load_chunk("job-1", 0, Chunk(done=[(0, 0)]), clock.now())
+    cluster.loaded()
     store.marks[job_key("job-1")] = 9
     store.values[job_key("job-1")] = raw(JobRecord("aborted", spec(tasks=1), 256))
-    Recorder(ledger, store, clock, Term(TOKEN, 5, 1), {}, lambda: None, lambda reason: None).start()
+    Recorder(cluster, store, clock, Term(TOKEN, 5, 1), {}, lambda: None, lambda reason: None).start()
     clock.advance(seconds(1))
-    assert store.marks[job_key("job-1")] == 9 and not ledger.jobs
+    assert store.marks[job_key("job-1")] == 9 and not cluster.jobs
 
 
 def finished_elsewhere():
-    """A ledger with a start that waits for its record while the record says that the job is done."""
-    ledger, clock = make_ledger(), ManualClock()
-    ledger.teams = {}
-    ledger.take_job(JobRecord("open", spec(tasks=1), 256), 1)
-    ledger.report(Report("n-0000000231", "x:1", "m", "z", True, 1, 1, TOKEN, []), clock.now(), True)
-    ledger.apply(Plan(starts=[Start("job-1", 0, "n-0000000231")]), clock.now())
-    ledger.take_job(JobRecord("done", spec(tasks=1), 256), 4)
-    return ledger
+    """A cluster with a start that waits for its record while the record says that the job is done."""
+    cluster, clock = make_cluster(), ManualClock()
+    cluster.teams = {}
+    cluster.take_job(JobRecord("open", spec(tasks=1), 256), 1)
+    cluster.report(Report("n-0000000231", "x:1", "m", "z", True, 1, 1, TOKEN, []), clock.now(), True)
+    cluster.apply(Plan(starts=[Start("job-1", 0, "n-0000000231")]), clock.now())
+    cluster.take_job(JobRecord("done", spec(tasks=1), 256), 4)
+    return cluster
 
 
 def test_a_start_of_a_job_that_is_done_keeps_no_room():
     """An old record of a job that is over, told late by the replica, opens it again until the newer comes.
     What was placed meanwhile is never recorded or sent, and held its room and its team's limit for good."""
-    ledger = finished_elsewhere()
-    assert not ledger.machines["n-0000000231"].placed
-    batch = ledger.collect(9, {})
+    cluster = finished_elsewhere()
+    assert not cluster.machines["n-0000000231"].placed
+    batch = cluster.collect(9, {})
     assert batch.size == 0 and list(batch.over) == ["job-1"]
 
 
 def test_an_abort_told_after_the_job_was_forgotten_is_forgotten_too():
-    ledger = make_ledger()
-    ledger.take_job(JobRecord("aborted", spec(tasks=1), 256), 4)
-    assert list(ledger.collect(9, {}).over) == ["job-1"]
-    ledger.forget("job-1")
-    assert not ledger.jobs
+    cluster = make_cluster()
+    cluster.take_job(JobRecord("aborted", spec(tasks=1), 256), 4)
+    assert list(cluster.collect(9, {}).over) == ["job-1"]
+    cluster.forget("job-1")
+    assert not cluster.jobs
 
 
 class Line:
@@ -283,14 +283,14 @@
         self.write(LEADER, {})
         term = Term(self.token, self.service.turn, 1)
         client = StateClient(Line(self), "", self.clock, StateLimits(1e4, 1e4, 16.0, 12), 1, seconds(1))
-        reign = Reign(term, platform(0, Deployment()), OperatorSettings(), self.clock, *[None] * 8)
-        self.ledger = make_ledger()
-        self.ledger.token = self.token
-        marks = reign._read(self.ledger, self.entries(), self.clock.now())
-        self.ledger.loaded()
+        leader = Leader(term, platform(0, Deployment()), OperatorSettings(), self.clock, *[None] * 8)
+        self.cluster = make_cluster()
+        self.cluster.token = self.token
+        marks = leader._read(self.cluster, self.entries(), self.clock.now())
+        self.cluster.loaded()
         self.deposed = []
         self.recorder = Recorder(
-            self.ledger, client, self.clock, term, marks, lambda: None, self.deposed.append
+            self.cluster, client, self.clock, term, marks, lambda: None, self.deposed.append
         )
         self.recorder.start()
 
@@ -310,7 +310,7 @@
         changes = [change for change in self.service.log if change.get("set", "").startswith(JOBS)]
         for change in changes[self.told : self.told + most]:
             record = msgspec.convert(change["v"], JobRecord)
-            self.ledger.take_job(record, change["mark"], self.clock.now())
+            self.cluster.take_job(record, change["mark"], self.clock.now())
             self.told += 1
         self.recorder.wake()
 
@@ -322,7 +322,7 @@
             machine, "x:1", "m", "z", True, self.sessions[machine], self.tallies[machine],
             self.tokens[machine], tasks,
         )  # fmt: skip
-        orders = self.ledger.report(report, self.clock.now(), True)
+        orders = self.cluster.report(report, self.clock.now(), True)
         self.tokens[machine] = self.token
         for order in orders:
             key, there = (order.task, order.attempt), self.machines[machine]
@@ -342,9 +342,9 @@
         self.report(to)
         self.report(to)
         self.fates = fates
-        if job in self.ledger.jobs:
+        if job in self.cluster.jobs:
             starts = [Start(job, index, to) for index in sorted(indices) if index < self.SIZES[job]]
-            self.ledger.apply(Plan(starts=starts), self.clock.now())
+            self.cluster.apply(Plan(starts=starts), self.clock.now())
             self.wait(0.01)
             self.report(to)
 
@@ -408,14 +408,14 @@
         self.fates = []
         self.settle()
         assert not self.deposed
-        for job in self.ledger.jobs.values():
+        for job in self.cluster.jobs.values():
             for number in range((len(job.state) - 1) // job.chunk + 1):
                 stored = self.stored(chunk_key(job.id, number)).get(chunk_key(job.id, number))
                 assert (
                     None if stored is None else msgspec.json.decode(raw(stored), type=Chunk)
                 ) == job.encode(number)
         for _ in range(3):
-            for job in list(self.ledger.jobs.values()):
+            for job in list(self.cluster.jobs.values()):
                 self.place(job.id, job.waiting(9), "n-1", [])
             self.settle()
             for machine in self.machines:
@@ -425,7 +425,7 @@
         # A record of a job that was over before may have come late; whoever leads next clears it away.
         self.lead()
         self.settle()
-        assert self.final.keys() == self.SIZES.keys() and not self.stored(TASKS) and not self.ledger.jobs
+        assert self.final.keys() == self.SIZES.keys() and not self.stored(TASKS) and not self.cluster.jobs
         assert not any(self.machines.values())
 
 
--- a/spindleglade/workers/test_reports.py
+++ b/spindleglade/workers/test_reports.py
@@ -12,11 +12,11 @@
 from spindleglade.store.client import raw
 from spindleglade.submissions.records import Chunk, JobRecord, JobViews, Placement, chunk_key, job_key
 from spindleglade.workers.api import WorkerApi
-from spindleglade.workers.bound import CancellationBound
+from spindleglade.workers.balancer import Load, ReportBalancer, Solitude
+from spindleglade.workers.cancellation_bound import CancellationBound
 from spindleglade.workers.messages import Report, decode_report
 from spindleglade.workers.relay import Relays
-from spindleglade.workers.spread import Load, Solitude, Spread
-from spindleglade.workers.test_ledger import spec
+from spindleglade.workers.test_cluster import spec
 
 LEASE, REPORT = seconds(10), seconds(1)
 
@@ -41,7 +41,7 @@
             lambda: False,
             relay,
             lambda token: None,
-            Spread(self.clock, REPORT, 2, LEASE),
+            ReportBalancer(self.clock, REPORT, 2, LEASE),
             Solitude(self.clock, zone, LEASE, lambda: self.since),
         )
 
@@ -125,7 +125,7 @@
 @given(st.lists(st.integers(0, 400), min_size=2, max_size=2), st.integers(0, 400), st.booleans())
 def test_workers_are_sent_only_to_siblings_that_have_less(others, own, leads):
     clock = ManualClock()
-    spread = Spread(clock, REPORT, 2, LEASE)
+    spread = ReportBalancer(clock, REPORT, 2, LEASE)
     loads = [Load(f"n-{at}", count, False) for at, count in enumerate(others)]
     spread.weigh(Load("me", own, leads), loads)
     # Not at once: a sibling that has only just come back may go again.
@@ -147,7 +147,7 @@
 
 def test_a_worker_that_came_back_is_left_in_peace():
     clock = ManualClock()
-    spread = Spread(clock, REPORT, 1, LEASE)
+    spread = ReportBalancer(clock, REPORT, 1, LEASE)
     for _ in range(2):
         spread.weigh(Load("me", 100, False), [Load("other", 0, False)])
         clock.advance(LEASE)
--- a/spindleglade/workers/views.py
+++ b/spindleglade/workers/views.py
@@ -1,4 +1,4 @@
-"""The book as planning sees it."""
+"""The cluster state as planning sees it."""
 
 from datetime import timedelta
 
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -90,6 +90,6 @@
             world.run(seconds(0.05))
         assert b'"aborted"' in answers[0].body and job in dict(answers[1]), name
     # The leader stops its tasks at once, and those of the others once their next pings have told it.
-    ledger = world.nodes[leader].reign.ledger
+    cluster = world.nodes[leader].leader.cluster
     world.run(seconds(1.5))
-    assert all(ledger.jobs[job].aborted for job in jobs if job in ledger.jobs)
+    assert all(cluster.jobs[job].aborted for job in jobs if job in cluster.jobs)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -245,15 +245,15 @@
     while len(world.completed) < 2:
         world.run(seconds(1))
     first = min(world.workers)
-    world.deaf.add(world.workers[first].machine.address)
+    world.not_receiving.add(world.workers[first].machine.address)
     job = world.submit(2, threads=3, vcpus=5.0, run_s=2.0)
     world.run(seconds(25))
     world.poll(job)
     world.run(seconds(1))
     assert world.told[job] == "done"
-    ledger = world.nodes[world.node_names[world.leader()]].reign.ledger
-    assert first not in ledger.machines or ledger.machines[first].deaf is not None
-    assert first not in ledger.machines or not ledger.machines[first].placed
+    cluster = world.nodes[world.node_names[world.leader()]].leader.cluster
+    assert first not in cluster.machines or cluster.machines[first].not_receiving is not None
+    assert first not in cluster.machines or not cluster.machines[first].placed
 
 
 def test_workers_leave_a_node_that_has_lost_the_store_and_its_siblings():
@@ -367,10 +367,10 @@
         world.cut(name, names, False, seconds(20))
     world.run(seconds(8))
     assert world.leader() == leader
-    reign = world.nodes[names[leader]].reign
-    now = reign._clock.now()
-    assert reign.ledger.machines
-    assert all(reign.ledger.usable(machine, now) for machine in reign.ledger.machines.values())
+    leader = world.nodes[names[leader]].leader
+    now = leader._clock.now()
+    assert leader.cluster.machines
+    assert all(leader.cluster.usable(machine, now) for machine in leader.cluster.machines.values())
 
 
 def test_a_task_behind_a_cut_with_one_node_runs_on():
@@ -401,7 +401,7 @@
     new = world.leader()
     assert new not in (None, leader) and worker.at == leader
     world.run(seconds(8))
-    heard = world.nodes[world.node_names[new]].reign.ledger.machines[worker.machine.name].heard
+    heard = world.nodes[world.node_names[new]].leader.cluster.machines[worker.machine.name].heard
     assert world.nodes[world.node_names[new]]._clock.now() - heard < seconds(2)
     world.refused.clear()
     world.run(seconds(60))
--- a/tests/world.py
+++ b/tests/world.py
@@ -329,9 +329,9 @@
         self.refused: set[str] = set()
         self.lose = 0.0
         # Machines whose reports arrive, but which no answer and no order reaches.
-        self.deaf: set[str] = set()
+        self.not_receiving: set[str] = set()
         # Machines that reach no controller, while direct commands reach them.
-        self.mute: set[str] = set()
+        self.not_reporting: set[str] = set()
         # How often a late copy of a report comes, at any node, and of what a controller asked for.
         self.late_reports = 0.0
         self.repeats = 0.0
@@ -478,13 +478,13 @@
 
     def make_deaf(self, machine: str, length: timedelta) -> None:
         self.trouble(length)
-        self.deaf.add(machine)
-        self.clock.later(length, self.deaf.discard, machine)
+        self.not_receiving.add(machine)
+        self.clock.later(length, self.not_receiving.discard, machine)
 
     def make_mute(self, machine: str, length: timedelta) -> None:
         self.trouble(length)
-        self.mute.add(machine)
-        self.clock.later(length, self.mute.discard, machine)
+        self.not_reporting.add(machine)
+        self.clock.later(length, self.not_reporting.discard, machine)
 
     def hang(self, machine: str, length: timedelta) -> None:
         worker = self.workers.get(machine.partition(":")[0])
@@ -575,10 +575,10 @@
     def assignments(self) -> list[Any]:
         """All that the leader holds to be on some machine."""
         leader = self.leader()
-        reign = None if leader is None else self.nodes[self.node_names[leader]].reign
-        if reign is None:
+        leader = None if leader is None else self.nodes[self.node_names[leader]].leader
+        if leader is None:
             return []
-        return [one for machine in reign.ledger.machines.values() for one in machine.placed.values()]
+        return [one for machine in leader.cluster.machines.values() for one in machine.placed.values()]
 
     # The network.
 
@@ -641,7 +641,7 @@
             else:
                 self._pass(target, source, lambda: answered(answer))
 
-        if path == "/v1/report" and source in self.mute:
+        if path == "/v1/report" and source in self.not_reporting:
             return
         self._pass(source, target, arrive)
         if path == "/v1/report" and self.rng.random() < self.kept_reports:
@@ -685,12 +685,12 @@
 
     def _copy(self, source: str, target: str, method: str, path: str, body: bytes) -> None:
         """A message that has been carried before comes again; whoever sent it waits for no answer."""
-        if not self.is_cut(source, target) and target not in self.deaf:
+        if not self.is_cut(source, target) and target not in self.not_receiving:
             self._serve(source, target, method, path, body)
 
     def _pass(self, source: str, target: str, deliver: Any) -> None:
         pair = frozenset((source, target))
-        if target in self.deaf:
+        if target in self.not_receiving:
             return
         if pair in self.cuts:
             held = self.cuts[pair]
@@ -1090,7 +1090,7 @@
         assert not self.broken, self.broken
 
     def _look_at_leader(self) -> None:
-        leading = [node.reign.term.token for node in self.nodes.values() if node.leads]
+        leading = [node.leader.term.token for node in self.nodes.values() if node.leads]
         if leading and max(leading) > self.led:
             self.led = max(leading)
             self.counts["leaders"] += 1
