--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -161,6 +161,7 @@
         self._busy = timedelta(days=-1)
         self.leader: Leader | None = None
         self.replica.listen(self._job_changed)
+        self.views.subscribe(self._dependency_changed)
         # Tells siblings this process from the one before.
         self._process = uuid4().hex
         self._statements = Statements(
@@ -226,6 +227,8 @@
             self._proven,
             self._leaders_bound,
             self.election.step_down,
+            self.replica,
+            self.views,
         )
         self.leader.start()
 
@@ -251,6 +254,10 @@
         if self.leader is not None and key.startswith(JOBS) and value is not None:
             self.leader.job_changed(msgspec.json.decode(value, type=JobRecord), mark)
 
+    def _dependency_changed(self, job: str) -> None:
+        if self.leader is not None:
+            self.leader.dependency_changed(job)
+
     def _weigh(self) -> None:
         own = Load(self._platform.name, self._balancer.workers, self.leads)
         others = [
--- a/spindleglade/backfill/distributions.py
+++ b/spindleglade/backfill/distributions.py
@@ -104,6 +104,11 @@
         ends, weights = self.bins.cut(model, ran, max(guess, self._longest.get(team, 0.0)))
         return np.maximum(ends - ran, 0.0), weights
 
+    def expected(self, team: str, estimate: timedelta) -> timedelta:
+        """How long a task that has not started yet is expected to run."""
+        ends, weights = self.remaining(team, estimate, timedelta(0))
+        return timedelta(seconds=float((ends * weights).sum()))
+
     def outlook(self, teams: list[str], rows: Array) -> tuple[Array, Array]:
         """`remaining` for many tasks at once. Each row is a task: its team's place in `teams`, its estimate
         and the time it has run, in seconds. Returns ends and weights, one row a task; an end of no weight
--- a/spindleglade/backfill/planner.py
+++ b/spindleglade/backfill/planner.py
@@ -57,7 +57,8 @@
                 job.waiting, job.overdue = job.waiting[first:], False
         # Submission order within a priority. A higher priority goes first because it could stop what a lower
         # one started in the same round, and starting only to stop loses work.
-        for job in sorted(self.jobs, key=lambda job: -job.rank):
+        # Within a priority, a job that others need goes first once their deadline leaves it no time to wait.
+        for job in sorted(self.jobs, key=lambda job: (-job.rank, not job.pressing)):
             if job.waiting:
                 self._place_job(job, refused, full)
         if self.preempt != "none":
--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -130,6 +130,8 @@
     barred: dict[int, set[str]] = field(default_factory=dict)
     # It has failed on several machines; this start only shows whether it still does.
     trial: bool = False
+    # Jobs that need it will miss a deadline unless it starts now.
+    pressing: bool = False
 
     def like(self) -> tuple:
         """Tasks with the same key are decided together."""
--- a/spindleglade/leader.py
+++ b/spindleglade/leader.py
@@ -11,7 +11,8 @@
 from spindleglade.backfill.planner import Planner
 from spindleglade.backfill.rounds import Rounds
 from spindleglade.backfill.snapshot import Plan
-from spindleglade.clock import Clock, seconds, sleep
+from spindleglade.backfill.urgency import ChainedJob, urgencies
+from spindleglade.clock import ZERO, Clock, seconds, sleep
 from spindleglade.fleet.client import CloudClient
 from spindleglade.fleet.manager import FleetManager
 from spindleglade.fleet.types import TypeBook
@@ -28,13 +29,16 @@
     Unknown,
     raw,
 )
+from spindleglade.store.replica import Replica
 from spindleglade.submissions.records import (
+    DEPENDENCIES,
     HISTORY,
     JOBS,
     PREFIX,
     TASKS,
     Chunk,
     JobRecord,
+    JobViews,
     chunk_key,
     split_chunk_key,
 )
@@ -49,6 +53,9 @@
 
 log = logging.getLogger("spindleglade.leadership")
 
+# How long changes of pipelines are gathered before priorities and deadlines are passed on again.
+URGENCY_DELAY = seconds(0.2)
+
 
 class Leader:
     def __init__(
@@ -65,6 +72,8 @@
         proven: Callable[[], bool],
         bound: CancellationBound,
         deposed: Callable[[str], None],
+        replica: Replica,
+        views: JobViews,
     ) -> None:
         self.term = term
         self._platform = platform
@@ -78,11 +87,14 @@
         self._proven = proven
         self._bound = bound
         self._deposed = deposed
+        self._replica = replica
+        self._views = views
         self._ended = False
         # Everything has been read: from here on it orders.
         self.active = False
         # Changes that came while everything was being read.
         self._early: list[tuple[JobRecord, int]] | None = []
+        self._urgency_timer: Any = None
         # Jobs with a record that cannot be read.
         self._unreadable: set[str] = set()
         # Marks of the teams' histories in the store.
@@ -137,9 +149,19 @@
         for record, mark in self._early:
             self._take(cluster, record, mark)
         self._early = None
+        for job in list(cluster.jobs):
+            self._update_dependent(job)
+        self._update_urgency()
         cluster.loaded()
         self._recorder = Recorder(
-            cluster, self._client, self._clock, self.term, marks, self._committed, self._deposed
+            cluster,
+            self._client,
+            self._clock,
+            self.term,
+            marks,
+            self._committed,
+            self._deposed,
+            self._replica.learn,
         )
         self._dispatcher = Dispatcher(
             cluster,
@@ -195,6 +217,10 @@
         marks: dict[str, int] = {}
         records: list[tuple[JobRecord, int]] = []
         chunks: list[tuple[str, int, Chunk]] = []
+        for entry in entries:
+            if entry.key.startswith((JOBS, DEPENDENCIES)):
+                # The listing may be ahead of the watch, and the graph of dependencies is the replica's.
+                self._replica.learn(entry.key, bytes(entry.value), entry.mark)
         for entry in entries:
             try:
                 if entry.key.startswith(JOBS):
@@ -235,6 +261,52 @@
         if record.accepted is not None:
             age = max(age, self._clock.utc() - record.accepted)
         cluster.take_job(record, mark, self._clock.now(), age)
+        if self._early is None:
+            self._update_dependent(record.spec.id)
+
+    def dependency_changed(self, job: str) -> None:
+        """The job was released, cancelled through an ancestor, or is now awaited by others."""
+        if self._early is None and not self._ended:
+            self._update_dependent(job)
+            self._changed()
+            if self._urgency_timer is None:
+                # Many jobs may change at once, and the pass looks at all that are unfinished.
+                self._urgency_timer = self._clock.later(URGENCY_DELAY, self._update_urgency)
+
+    def _update_urgency(self) -> None:
+        """Passes priorities and deadlines on from the ends of pipelines to their beginnings."""
+        self._urgency_timer = None
+        if self._ended:
+            return
+        graph = self._views.graph
+        members = self.cluster.chain_members(graph.members())
+        jobs = {
+            name: ChainedJob(
+                member.rank,
+                member.deadline,
+                self.predictor.expected(member.team, member.estimate),
+                graph.dependents(name),
+            )
+            for name, member in members.items()
+        }
+        for name, urgency in urgencies(jobs).items():
+            latest = None
+            if jobs[name].dependents and urgency.deadline is not None:
+                latest = urgency.deadline - jobs[name].expected * 2
+            self.cluster.set_urgency(name, urgency.rank, latest)
+
+    def _update_dependent(self, job: str) -> None:
+        """Applies to the cluster state what the graph of dependencies says of the job."""
+        graph = self._views.graph
+        if job not in self.cluster.jobs:
+            return
+        self.cluster.set_awaited(job, graph.is_awaited(job))
+        if graph.is_cancelled(job):
+            self.cluster.cancel_dependent(job)
+        elif job in self._views.jobs and graph.is_released(job):
+            released = self._views.released_at(job)
+            age = ZERO if released is None else max(ZERO, self._clock.utc() - released)
+            self.cluster.release(job, self._clock.now(), age)
 
     @property
     def unheard(self) -> bool:
--- a/spindleglade/submissions/api.py
+++ b/spindleglade/submissions/api.py
@@ -15,12 +15,14 @@
 from spindleglade.settings.platform import Team
 from spindleglade.store.client import Committed, Condition, Put, StateClient, Unavailable, Unknown, raw
 from spindleglade.store.replica import Replica, Unconfirmed
+from spindleglade.submissions.acceptance import TooManyDependencies, acceptance_writes
 from spindleglade.submissions.messages import (
     Impossible,
     JobAnswer,
     MachineShape,
     StateAnswer,
     check_possible,
+    decode_dependencies,
     decode_submission,
     named_job,
 )
@@ -94,6 +96,7 @@
     async def _submit(self, body: bytes) -> Answer:
         try:
             job = decode_submission(body)
+            dependencies = decode_dependencies(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             log.info("submission malformed reason=%s", error)
             return await self._refuse(named_job(body), _error(400, str(error)))
@@ -107,20 +110,40 @@
         except Impossible as error:
             log.info("submission refused job=%s reason=%s", job.id, error)
             return await self._refuse(job.id, _error(422, str(error)))
-        record = JobRecord("open", job, self._chunk, self._utc())
+        if not self._all_accepted(dependencies):
+            try:
+                await self._replica.confirm()
+            except Unconfirmed:
+                return LATER
+            if not self._all_accepted(dependencies):
+                log.info("submission refused job=%s reason=unknown dependency", job.id)
+                return await self._refuse(job.id, _error(422, "a job that it awaits was never accepted"))
+        accepted = JobRecord("open", job, self._chunk, self._utc(), dependencies)
+        try:
+            writes = acceptance_writes(accepted, self._client.limits)
+        except TooManyDependencies as error:
+            log.info("submission refused job=%s reason=%s", job.id, error)
+            return await self._refuse(job.id, _error(422, str(error)))
         key = job_key(job.id)
         try:
-            result = await self._client.txn([Condition(key, 0)], [Put(key, raw(record))], urgent=True)
+            result = await self._client.txn([Condition(key, 0)], writes, urgent=True)
         except (Unavailable, Unknown) as error:
             log.info("submission not taken job=%s reason=%s", job.id, error)
             return LATER
         if not isinstance(result, Committed):
             return await self._known(job.id)
         log.info("accepted job=%s team=%s class=%s tasks=%d", job.id, job.team, job.job_class, job.tasks)
+        # Users name it as a dependency of their next job at once.
+        for write in writes:
+            self._replica.learn(write.key, bytes(write.value), result.turn)
         # The store's answer may be slow. By now this node may have told another request that the job is over.
         view = self._views.jobs.get(job.id)
         return Answer(201, encode_json(JobAnswer(job.id, "pending" if view is None else view.stage)))
 
+    def _all_accepted(self, dependencies: list[str]) -> bool:
+        """Whether this node knows that all of these jobs were accepted. It may only be behind."""
+        return all(job_key(name) in self._replica.marks for name in dependencies)
+
     async def _refuse(self, job: str | None, answer: Answer) -> Answer:
         """The answer for what cannot be accepted, unless the job is known: a repeat of an accepted job is
         never refused, however odd its body, and another node may have accepted it a moment ago."""
@@ -138,7 +161,7 @@
     async def _current(self, job: str) -> JobView | None:
         """What is known of the job, confirmed now unless it is final. Raises Unconfirmed."""
         view = self._views.jobs.get(job)
-        if view is None or view.record.stage == "open":
+        if view is None or not view.final:
             await self._replica.confirm()
             view = self._views.jobs.get(job)
         if view is None and job_key(job) in self._replica.marks:
@@ -164,8 +187,8 @@
             if view is None:
                 return _error(404, "no such job")
             record = view.record
-            if record.stage != "open":
-                return Answer(200, encode_json(JobAnswer(job, record.stage)))
+            if view.final:
+                return Answer(200, encode_json(JobAnswer(job, view.stage)))
             key = job_key(job)
             aborted = JobRecord("aborted", record.spec, record.chunk, record.accepted)
             condition = Condition(key, self._replica.marks.get(key, 0))
--- a/spindleglade/submissions/messages.py
+++ b/spindleglade/submissions/messages.py
@@ -53,11 +53,18 @@
         return self.kind != "array"
 
 
+class _Dependencies(msgspec.Struct):
+    """The part of a submission that says which jobs have to be done before any of its tasks starts."""
+
+    dependencies: list[JobId] | None = msgspec.field(name="awaits", default=None)
+
+
 class _Named(msgspec.Struct):
     id: JobId = msgspec.field(name="ref")
 
 
 _submissions = msgspec.json.Decoder(Submission)
+_dependencies = msgspec.json.Decoder(_Dependencies)
 _names = msgspec.json.Decoder(_Named)
 
 
@@ -92,6 +99,12 @@
     return decode(_submissions.decode, body)
 
 
+def decode_dependencies(body: bytes) -> list[str]:
+    """The jobs that a submission depends on, each once, in the order given. Raises msgspec.DecodeError on
+    anything but a list of job ids."""
+    return list(dict.fromkeys(decode(_dependencies.decode, body).dependencies or ()))
+
+
 def named_job(body: bytes) -> str | None:
     """The job that a malformed submission is about, if it says so."""
     try:
--- a/spindleglade/test_leader.py
+++ b/spindleglade/test_leader.py
@@ -11,7 +11,15 @@
 from spindleglade.settings import OperatorSettings
 from spindleglade.settings.platform import StateLimits
 from spindleglade.store.client import Committed, Entry, Refused, Unknown, raw
-from spindleglade.submissions.records import HISTORY, Chunk, JobRecord, Placement, chunk_key, job_key
+from spindleglade.submissions.records import (
+    HISTORY,
+    Chunk,
+    JobRecord,
+    JobViews,
+    Placement,
+    chunk_key,
+    job_key,
+)
 from spindleglade.tasks import spawn
 from spindleglade.workers.test_cluster import TOKEN, make_cluster, spec
 from tests.world import Deployment, platform
@@ -53,6 +61,13 @@
         return Entry(key, msgspec.Raw(self.keys[key][0]), self.keys[key][1]) if key in self.keys else None
 
 
+class Learner:
+    """Stands in for the replica: what the leader reads ahead of the watch is not needed here."""
+
+    def learn(self, key, value, mark):
+        pass
+
+
 def make(store):
     deposed = []
     leader = Leader(
@@ -68,6 +83,8 @@
         None,
         None,
         deposed.append,
+        Learner(),
+        JobViews(),
     )
     leader.cluster, leader.active = make_cluster(), True
     return leader, deposed
--- a/spindleglade/workers/attempts.py
+++ b/spindleglade/workers/attempts.py
@@ -102,20 +102,24 @@
         "accepted",
         "aborted",
         "attempts",
+        "awaited",
         "avoid",
         "backoff",
         "chunk",
         "committed_versions",
+        "deadline",
         "done",
         "failed_on",
         "finished",
         "hungry",
         "id",
+        "latest_start",
         "mark",
         "not_before",
         "order",
         "placed",
         "rank",
+        "released",
         "spec",
         "state",
         "types",
@@ -145,6 +149,14 @@
         self.backoff = timedelta(0)
         self.avoid: set[str] = set()
         self.failed_on: set[str] = set()
+        # All its dependencies are done. Until then it is no candidate and waits for nothing but them.
+        self.released = not record.has_dependencies
+        # Other jobs wait for its end.
+        self.awaited = False
+        # When it should be done, by its own deadline.
+        self.deadline: timedelta | None = None
+        # When it should start so that the jobs that need it can meet theirs.
+        self.latest_start: timedelta | None = None
         # Since when it has had no start.
         self.hungry = timedelta(0)
 
@@ -180,6 +192,15 @@
         return chunk if chunk.done or chunk.placed or chunk.tried else None
 
 
+class ChainMember(NamedTuple):
+    """What an open job brings into its pipelines."""
+
+    rank: int
+    deadline: timedelta | None
+    team: str
+    estimate: timedelta
+
+
 @dataclass(slots=True, eq=False)
 class Machine:
     name: str
--- a/spindleglade/workers/orders.py
+++ b/spindleglade/workers/orders.py
@@ -63,6 +63,7 @@
             and assignment.answered is None
             and assignment.recorded
             and assignment.job.open
+            and assignment.job.released
         )
 
     def to_send(self, now: timedelta, starts: bool = True) -> list[tuple[Machine, int, list[Order]]]:
--- a/spindleglade/workers/placing.py
+++ b/spindleglade/workers/placing.py
@@ -60,6 +60,8 @@
             room = max((kind.cpus for kind in self.kinds.values()), default=0.0)
             jobs = []
             for job in sorted(self.jobs.values(), key=lambda job: job.order):
+                if not job.released:
+                    continue
                 if not job.open or job.not_before > now or job.done + len(job.placed) >= len(job.state):
                     continue
                 if job.spec.kind == "group" and job.placed:
@@ -68,7 +70,9 @@
                 trial = self._on_trial(job, now)
                 if trial and job.placed:
                     continue
-                jobs.append(job_view(job, self.machines, room * 64, overdue, barred.get(job.id, {}), trial))
+                pressing = job.latest_start is not None and job.latest_start <= now
+                bars = barred.get(job.id, {})
+                jobs.append(job_view(job, self.machines, room * 64, overdue, bars, trial, pressing))
             return Snapshot(jobs, machines, self.teams, self.predictor.copy(), now, self.ordinary_first)
 
     @staticmethod
@@ -100,6 +104,7 @@
                     job is None
                     or machine is None
                     or not job.open
+                    or not job.released
                     or job.state[start.index] != WAITING
                     or not self.usable(machine, now)
                 ):
--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -46,7 +46,10 @@
         marks: dict[str, int],
         committed: Callable[[], None],
         deposed: Callable[[str], None],
+        learn: Callable[[str, bytes, int], None] = lambda key, value, mark: None,
     ) -> None:
+        """`learn` is told each record of an end that the store holds, with its key and mark: dependents are
+        released by it without waiting for the watch."""
         self._cluster = cluster
         self._client = client
         self._clock = clock
@@ -55,6 +58,7 @@
         self._marks = marks
         self._committed = committed
         self._deposed = deposed
+        self._learn = learn
         self._stopped = False
         self._idle: Deferred[None] | None = None
         # Conditions cost too: four times the changes are allowed, one is the leader key, two a chunk.
@@ -139,6 +143,11 @@
                 writes.append(Put(key, raw(chunk)))
             elif stored:
                 writes.append(Delete(key))
+        finished = self._clock.utc()
+        batch.done = [
+            (job, mark, msgspec.structs.replace(record, finished=finished))
+            for job, mark, record in batch.done
+        ]
         for job, mark, record in batch.done:
             when[job_key(job)] = mark
             writes.append(Put(job_key(job), raw(record)))
@@ -156,8 +165,9 @@
             else:
                 self._marks[key] = turn
             self._cluster.committed(job, number, version)
-        for job, _, _ in batch.done:
+        for job, _, record in batch.done:
             self._cluster.finished(job, turn)
+            self._learn(job_key(job), raw(record), turn)
         for _, key in batch.removed:
             self._marks.pop(key, None)
         for job in batch.over:
--- a/spindleglade/workers/recording.py
+++ b/spindleglade/workers/recording.py
@@ -1,9 +1,21 @@
 """What the store holds of the cluster state: reading it, and what of it is to be written next."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
+from spindleglade.submissions.messages import RANK
 from spindleglade.submissions.records import TASKS, Chunk, JobRecord, chunk_key
-from spindleglade.workers.attempts import DONE, PLACED, ZERO, Assignment, Batch, Job, Machine
+from spindleglade.workers.attempts import (
+    DONE,
+    PLACED,
+    ZERO,
+    Assignment,
+    Batch,
+    ChainMember,
+    Job,
+    Machine,
+    estimate,
+)
 from spindleglade.workers.cluster_base import ClusterBase
 
 
@@ -17,6 +29,8 @@
                 if record.stage != "done":
                     job = self.jobs[record.spec.id] = Job(record, mark)
                     job.hungry = now - age
+                    if job.spec.deadline_s is not None:
+                        job.deadline = now - age + timedelta(seconds=job.spec.deadline_s)
                     self.changes += 1
                     # One that was over and forgotten before the replica told of it is forgotten again.
                     self._retire(job)
@@ -29,11 +43,62 @@
                 # Our own write, seen by watch before its answer came.
                 self._finish(job)
             elif record.stage == "aborted" and not job.aborted:
-                job.aborted = True
+                self._abort(job)
+
+    def cancel_dependent(self, job_id: str) -> None:
+        """An ancestor of the job is aborted, and so is the job, though its own record does not say so."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is not None and job.open:
+                self.changes += 1
+                self._abort(job)
+
+    def release(self, job_id: str, now: timedelta, age: timedelta) -> None:
+        """All dependencies of the job are on record as done, since `age`: its tasks may start from now on."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is not None and not job.released:
+                job.released = True
+                job.hungry = now - age
+                self.changes += 1
+
+    def set_awaited(self, job_id: str, awaited: bool) -> None:
+        """Whether other jobs wait for this one, so that its end is recorded before others."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is not None:
+                job.awaited = awaited
+
+    def chain_members(self, names: Iterable[str]) -> dict[str, ChainMember]:
+        """Those of the named jobs that are open."""
+        with self.lock:
+            jobs = [self.jobs[name] for name in names if name in self.jobs]
+            return {
+                job.id: ChainMember(RANK[job.spec.priority], job.deadline, job.spec.team, estimate(job.spec))
+                for job in jobs
+                if job.open
+            }
+
+    def set_urgency(self, job_id: str, rank: int, latest_start: timedelta | None) -> None:
+        """What the job takes over from the jobs that need it."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            if job is None:
+                return
+            job.latest_start = latest_start
+            if job.rank != rank:
+                job.rank = rank
                 for assignment in job.placed.values():
-                    self._stop(assignment, "aborted", 0.0)
-                self._drop_unsent(job, "aborted before its start")
-                self._retire(job)
+                    machine = self.machines.get(assignment.machine)
+                    if machine is not None:
+                        self._touch(machine)
+
+    def _abort(self, job: Job) -> None:
+        job.aborted = True
+        for assignment in job.placed.values():
+            self._stop(assignment, "aborted", 0.0)
+        self._drop_unsent(job, "aborted before its start")
+        self._retire(job)
 
     def load_chunk(self, job_id: str, number: int, chunk: Chunk, now: timedelta) -> None:
         """A chunk as a former leader left it; only for the first reading."""
@@ -108,12 +173,17 @@
                 del self.jobs[job_id]
 
     def collect(self, most: int, stored: dict[str, int], spare: int | None = None) -> "Batch":
-        """Takes out of the dirty chunks what one transaction can hold: first those with starts that wait for
-        their record, then jobs that are done, of which users wait to hear, then the rest, which nobody waits
-        for: at most `spare` of it. `stored` has the marks of the chunks that the store holds."""
+        """Takes out of the dirty chunks what one transaction can hold: first the ends of jobs that others
+        depend on, then chunks with starts that wait for their record, then other jobs that are done, of which
+        users wait to hear, then the rest, which nobody waits for: at most `spare` of it. `stored` has the
+        marks of the chunks that the store holds."""
         with self.lock:
             batch = Batch()
             rest: list[tuple[str, int]] = []
+            for at in list(self.dirty):
+                job = self.jobs.get(at[0])
+                if batch.size < most and job is not None and job.awaited and job.open and job.complete:
+                    self._collect(batch, at, most, stored)
             for at in list(self.starting):
                 if batch.size >= most:
                     break
--- a/spindleglade/workers/test_recorder.py
+++ b/spindleglade/workers/test_recorder.py
@@ -23,7 +23,8 @@
     Unknown,
     raw,
 )
-from spindleglade.submissions.records import JOBS, TASKS, Chunk, JobRecord, chunk_key, job_key
+from spindleglade.submissions.records import JOBS, TASKS, Chunk, JobRecord, JobViews, chunk_key, job_key
+from spindleglade.test_leader import Learner
 from spindleglade.web import NoAnswer, Response
 from spindleglade.workers.messages import Report, TaskReport
 from spindleglade.workers.recorder import Recorder
@@ -283,7 +284,15 @@
         self.write(LEADER, {})
         term = Term(self.token, self.service.turn, 1)
         client = StateClient(Line(self), "", self.clock, StateLimits(1e4, 1e4, 16.0, 12), 1, seconds(1))
-        leader = Leader(term, platform(0, Deployment()), OperatorSettings(), self.clock, *[None] * 8)
+        leader = Leader(
+            term,
+            platform(0, Deployment()),
+            OperatorSettings(),
+            self.clock,
+            *[None] * 8,
+            Learner(),
+            JobViews(),
+        )
         self.cluster = make_cluster()
         self.cluster.token = self.token
         marks = leader._read(self.cluster, self.entries(), self.clock.now())
--- a/spindleglade/workers/views.py
+++ b/spindleglade/workers/views.py
@@ -57,6 +57,7 @@
     overdue: bool,
     barred: dict[int, set[str]],
     trial: bool = False,
+    pressing: bool = False,
 ) -> JobView:
     """`room`: CPUs that one round could at most fill."""
     spec = job.spec
@@ -91,4 +92,5 @@
         frozenset(job.avoid),
         barred,
         trial,
+        pressing,
     )
