--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -167,7 +167,7 @@
             self._cluster.committed(job, number, version)
         for job, _, record in batch.done:
             self._cluster.finished(job, turn)
-            self._learn(job_key(job), raw(record), turn)
+            self._learn(job_key(job), bytes(raw(record)), turn)
         for _, key in batch.removed:
             self._marks.pop(key, None)
         for job in batch.over:
@@ -198,5 +198,6 @@
             await sleep(self._clock, timedelta(seconds=0.05))
             return
         self._cluster.take_job(record, entry.mark)
+        self._learn(key, bytes(entry.value), entry.mark)
         # There may be tasks to stop.
         self._committed()
--- /dev/null
+++ b/spindleglade/workers/test_dependents.py
@@ -0,0 +1,208 @@
+"""The leader's cluster state and recorder with jobs that depend on others."""
+
+from datetime import timedelta
+
+import pytest
+
+from spindleglade.backfill.snapshot import Plan, Start
+from spindleglade.clock import ManualClock, seconds
+from spindleglade.leader import Leader
+from spindleglade.leadership.election import Term
+from spindleglade.settings import OperatorSettings
+from spindleglade.store.client import Entry, Listing, raw
+from spindleglade.submissions.records import JobRecord, JobViews, job_key
+from spindleglade.workers.recorder import Recorder
+from spindleglade.workers.test_cluster import RULES, TOKEN, Harness, spec
+from spindleglade.workers.test_recorder import Store
+from tests.world import Deployment, platform
+
+
+def dependent(id="job-2", dependencies=("job-1",), **fields):
+    return JobRecord("open", spec(id, 1, **fields), 8, None, list(dependencies))
+
+
+def waiting():
+    """A machine that is up, job-1 open, and job-2 that waits for it."""
+    harness = Harness()
+    harness.report()
+    harness.cluster.take_job(dependent(), 2, harness.now)
+    return harness
+
+
+def candidates(harness):
+    return {job.id: job for job in harness.cluster.snapshot(harness.now).jobs}
+
+
+def test_a_job_that_waits_is_no_candidate_and_no_plan_starts_it():
+    harness = waiting()
+    assert set(candidates(harness)) == {"job-1"}
+    start = Plan(starts=[Start("job-2", 0, "n-1")])
+    assert harness.cluster.apply(start, harness.now) == 0
+    harness.cluster.release("job-2", harness.now, timedelta(0))
+    assert set(candidates(harness)) == {"job-1", "job-2"}
+    assert harness.cluster.apply(start, harness.now) == 1
+
+
+def test_the_clock_of_overdue_jobs_counts_from_the_release():
+    harness = waiting()
+    harness.now += RULES.patience * 3
+    harness.cluster.release("job-2", harness.now, RULES.patience / 2)
+    found = candidates(harness)
+    assert found["job-1"].overdue and not found["job-2"].overdue
+    harness.now += RULES.patience / 2
+    assert candidates(harness)["job-2"].overdue
+
+
+def test_a_job_cancelled_through_an_ancestor_is_over_without_a_write():
+    harness = waiting()
+    harness.cluster.cancel_dependent("job-2")
+    assert set(candidates(harness)) == {"job-1"}
+    batch = harness.cluster.collect(9, {})
+    assert list(batch.over) == ["job-2"] and batch.size == 0
+    harness.cluster.forget("job-2")
+    # Released and cancelled exclude each other; nothing brings it back.
+    harness.cluster.release("job-2", harness.now, timedelta(0))
+    assert set(candidates(harness)) == {"job-1"}
+
+
+def test_urgency_changes_the_rank_and_presses_near_the_latest_start():
+    harness = waiting()
+    harness.cluster.set_urgency("job-1", 3, harness.now + seconds(5))
+    assert (candidates(harness)["job-1"].rank, candidates(harness)["job-1"].pressing) == (3, False)
+    harness.now += seconds(5)
+    assert candidates(harness)["job-1"].pressing
+    harness.cluster.set_urgency("job-1", 1, None)
+    assert (candidates(harness)["job-1"].rank, candidates(harness)["job-1"].pressing) == (1, False)
+
+
+def ended(harness, id):
+    job = harness.cluster.jobs[id]
+    for index in range(len(job.state)):
+        job.state[index], job.done = 2, job.done + 1
+        harness.cluster._changed(job, index)
+
+
+def test_the_end_of_a_job_that_others_wait_for_is_recorded_ahead_of_all_else():
+    harness = Harness()
+    harness.report()
+    for number in range(2, 6):
+        harness.cluster.take_job(JobRecord("open", spec(f"job-{number}", 1), 8), number)
+        ended(harness, f"job-{number}")
+    harness.place()
+    harness.cluster.set_awaited("job-5", True)
+    assert [done for done, _, _ in harness.cluster.collect(1, {}).done] == ["job-5"]
+    # Then the starts, then the other ends.
+    batch = harness.cluster.collect(2, {})
+    assert [job for job, *_ in batch.chunks] == ["job-1"] and [job for job, _, _ in batch.done] == ["job-2"]
+
+
+@pytest.mark.parametrize("fate", ["ok", "refused", "answer lost"])
+def test_dependents_are_told_of_an_end_only_once_the_store_holds_it(fate):
+    """What the worker reported is not enough: a start must not come before the record of what it needs. An
+    end whose answer was lost is known once its record has been read back."""
+    harness, clock, learned = Harness(), ManualClock(), []
+    ended(harness, "job-1")
+    store = Store([fate])
+    store.values[job_key("job-1")] = raw(JobRecord("done", spec(), 1))
+    recorder = Recorder(
+        harness.cluster,
+        store,
+        clock,
+        Term(TOKEN, 5, 1),
+        {},
+        lambda: None,
+        str,
+        lambda key, value, mark: learned.append((key, mark, value)),
+    )
+    recorder.start()
+    assert bool(learned) == (fate == "ok")
+    for _ in range(20):
+        clock.advance(seconds(0.1))
+    assert learned[0][:2] == (job_key("job-1"), 11)
+    assert (b'"finished"' in learned[0][2]) == (fate != "answer lost")
+
+
+class Replica:
+    """Tells the views what the leader reads, as the node's replica does."""
+
+    def __init__(self, views):
+        self._views = views
+
+    def learn(self, key, value, mark):
+        self._views.listener(key, value, mark)
+
+
+class Listed:
+    """A store that holds these records and takes nothing."""
+
+    def __init__(self, records):
+        self.limits = platform(0, Deployment()).params.state
+        self._entries = records
+
+    async def read_all(self, prefix):
+        return Listing(self._entries, 9)
+
+
+def take_over(*records):
+    """The leader's state after it has read these records, ahead of its replica."""
+    views = JobViews()
+    entries = [Entry(job_key(record.spec.id), raw(record), mark) for mark, record in enumerate(records, 1)]
+    leader = Leader(
+        Term(TOKEN, 5, 1),
+        platform(0, Deployment()),
+        OperatorSettings(),
+        ManualClock(),
+        None,
+        None,
+        Listed(entries),
+        None,
+        None,
+        None,
+        None,
+        str,
+        Replica(views),
+        views,
+    )
+    return leader, views, entries
+
+
+@pytest.mark.parametrize("stage", ["open", "done", "aborted"])
+def test_a_new_leader_releases_by_the_records_it_reads_itself(stage):
+    first = JobRecord(stage, spec(), 8)
+    leader, views, entries = take_over(first, dependent(), dependent("job-3", ["job-2"]))
+    harness = Harness()
+    leader.cluster = harness.cluster
+    leader.cluster.jobs.clear()
+    leader._read(leader.cluster, entries, harness.now)
+    leader._early = None
+    for id in list(leader.cluster.jobs):
+        leader._update_dependent(id)
+    job = leader.cluster.jobs["job-2"]
+    assert (job.released, job.aborted) == (stage == "done", stage == "aborted")
+    assert leader.cluster.jobs["job-3"].aborted == (stage == "aborted")
+    assert not leader.cluster.jobs["job-3"].released
+
+
+def test_priorities_and_deadlines_reach_the_beginning_of_a_pipeline():
+    last = dependent("job-3", ["job-2"], priority="critical", deadline_s=100.0, estimate_s=10.0)
+    leader, views, entries = take_over(
+        JobRecord("open", spec(estimate_s=7.0), 8), dependent(estimate_s=5.0), last
+    )
+    harness = Harness()
+    leader.cluster = harness.cluster
+    leader.cluster.jobs.clear()
+    leader._read(leader.cluster, entries, harness.now)
+    leader._early = None
+    leader._update_urgency()
+    now = leader._clock.now()
+    found = {id: (job.rank, job.latest_start) for id, job in leader.cluster.jobs.items()}
+    # 100 s, less the runs of what comes after, less twice its own.
+    assert found == {
+        "job-1": (3, now + seconds(100 - 10 - 5 - 14)),
+        "job-2": (3, now + seconds(100 - 10 - 10)),
+        "job-3": (3, None),
+    }
+    views.listener(job_key("job-3"), raw(JobRecord("aborted", last.spec, 8)), 20)
+    leader.cluster.take_job(JobRecord("aborted", last.spec, 8), 20)
+    leader._update_urgency()
+    assert {id: job.rank for id, job in leader.cluster.jobs.items()} == {"job-1": 1, "job-2": 1, "job-3": 3}
