--- a/spindleglade/test_leader.py
+++ b/spindleglade/test_leader.py
@@ -14,7 +14,7 @@
 from spindleglade.submissions.records import HISTORY, Chunk, JobRecord, Placement, chunk_key, job_key
 from spindleglade.tasks import spawn
 from spindleglade.workers.test_cluster import TOKEN, make_cluster, spec
-from tests.world import Deployment, platform
+from tests.deployment import Deployment, platform
 
 
 class Store:
--- a/spindleglade/workers/test_recorder.py
+++ b/spindleglade/workers/test_recorder.py
@@ -28,8 +28,8 @@
 from spindleglade.workers.messages import Report, TaskReport
 from spindleglade.workers.recorder import Recorder
 from spindleglade.workers.test_cluster import TOKEN, make_cluster, spec
+from tests.deployment import Deployment, platform
 from tests.standins import StateService
-from tests.world import Deployment, platform
 
 
 class Store:
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -45,6 +45,15 @@
     sockets: int = 1024
     # What a machine has.
     machine_cpus: float = 8.0
+    # The state service's limits, and the lower ones that it may have from some moment on.
+    value_kb: float = 16.0
+    txn_ops: int = 12
+    next_limits: dict[str, float] | None = None
+
+
+def _state_limits(at: Deployment) -> dict:
+    limits = {"rps": at.rps, "write_rps": at.write_rps, "value_kb": at.value_kb, "txn_ops": at.txn_ops}
+    return limits if at.next_limits is None else limits | {"next": at.next_limits}
 
 
 def platform(index: int, at: Deployment) -> Platform:
@@ -69,7 +78,7 @@
                     "lease_s": at.lease.total_seconds(),
                     "cancel_s": CANCEL.total_seconds(),
                 },
-                "state": {"rps": at.rps, "write_rps": at.write_rps, "value_kb": 16.0, "txn_ops": 12},
+                "state": _state_limits(at),
                 "cloud": {"rps": at.cloud_rps, "list_lag_s": 1.0},
                 "machine_limits": {"sockets": at.sockets},
             },
--- /dev/null
+++ b/tests/record_production.py
@@ -0,0 +1,191 @@
+"""Runs a simulated deployment of this version and records the bytes of its store and its sibling messages.
+
+Run once, from the repository's root at the commit that is in production, and never again with later code:
+
+    python -m tests.record_production
+
+It writes fixtures/production/store.json (every key with the JSON text that was written), messages.json (one
+sibling message of each kind, base64 of its msgpack) and surroundings.json (the machines and the users of that
+moment). tests/production.py holds the layouts, and test_production.py checks that they fit these bytes.
+"""
+
+from typing import Any
+
+import msgspec
+
+from spindleglade.clock import seconds
+from spindleglade.leadership.links import Message
+from tests import recorded_day as day
+from tests.production import COMMIT, HISTORY, LEADER, TASKS, TOKEN, TYPES, VOUCHED
+from tests.standins import Reply, Worker
+from tests.world import World
+
+SEED = 6
+
+
+class _RawWrite(msgspec.Struct):
+    set: str | None = None
+    v: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _RawTransaction(msgspec.Struct):
+    writes: list[_RawWrite]
+
+
+class RecordingWorld(World):
+    """Keeps the text of each value as it was sent, and the longest sibling message of each kind."""
+
+    def __init__(self, *args: Any, **named: Any) -> None:
+        self.values: dict[str, str] = {}
+        self.messages: dict[str, bytes] = {}
+        super().__init__(*args, **named)
+
+    def _serve(self, source: str, target: str, method: str, path: str, body: bytes) -> Any:
+        answer: Any = super()._serve(source, target, method, path, body)
+        if target == "state" and path == "/txn" and answer[0] == 200:
+            self._note_writes(body, answer)
+        return answer
+
+    def _note_writes(self, body: bytes, answer: Reply) -> None:
+        for write in msgspec.json.decode(body, type=_RawTransaction).writes:
+            if write.set is not None:
+                self.values[write.set] = bytes(write.v).decode()
+
+    def as_sent(self, message: Message) -> Message:
+        encoded, kind = msgspec.msgpack.encode(message), type(message).__name__
+        if len(encoded) > len(self.messages.get(kind, b"")):
+            self.messages[kind] = encoded
+        return super().as_sent(message)
+
+
+def run_until_recorded() -> RecordingWorld:
+    """A loaded day up to a moment at which the store holds a record of each kind."""
+    world = RecordingWorld(SEED, error=0.15, deployment=day.RECORDED)
+    world.run(seconds(3))
+    lasts = [4.0 + (index * 7) % 60 for index in range(day.LARGE_ARRAY_TASKS)]
+    world.submit(1, threads=day.LARGE_ARRAY_TASKS, vcpus=1.0, mem_gb=0.1, run_s=lasts, reckon_s=30.0)
+    for number in range(2, 26):
+        world.clock.later(seconds(number * 1.2), _submit_small, world, number)
+    world.run(seconds(14))
+    leader = world.leader()
+    assert leader is not None
+    follower = (leader + 1) % 3
+    # Users' requests are forwarded while the store refuses a node.
+    world.refuse(follower, seconds(4))
+    # Such a node hears of cancellations from its siblings.
+    world.clock.later(seconds(1), world.abort, "job-000003", 40, world.node_names[leader])
+    for _ in range(6):
+        world.submit_odd()
+        world.poll(day.LARGE_ARRAY, world.node_names[follower])
+    world.run(seconds(6))
+    # Nodes vouch for machines while they cannot reach the leader, and so do not tell it what has ended.
+    names = world.node_names
+    for name in names:
+        world.cut(name, names, False, seconds(10))
+    aborted = [job for job in sorted(world.jobs) if job != day.LARGE_ARRAY and world.machines_of(job)][:3]
+    for job in aborted:
+        # What hangs does not tell of its tasks' end, so they linger in the store.
+        for machine in world.machines_of(job):
+            world.hang(machine, seconds(5))
+        world.abort(job)
+    world.run(seconds(2))
+    for job in sorted(world.jobs):
+        world.poll(job)
+    world.run(seconds(1))
+    _run_until_complete(world)
+    return world
+
+
+def _submit_small(world: World, number: int) -> None:
+    running = 40.0 if number % 4 == 3 else 0.5 + number % 3
+    world.submit(number, crew="blue", threads=1 + number % 3, mem_gb=0.1, run_s=running, reckon_s=5.0)
+
+
+def _run_until_complete(world: RecordingWorld) -> None:
+    for _ in range(200):
+        if _is_complete(world):
+            return
+        world.run(seconds(0.1))
+    raise AssertionError("no moment of the day had a record of each kind")
+
+
+def _is_complete(world: RecordingWorld) -> bool:
+    keys = world.state.keys
+    chunks = {key: value[0] for key, value in keys.items() if key.startswith(TASKS)}
+    lingering = any(
+        chunk.get("placed") and keys[f"sg/job/{key.split('/')[2]}"][0]["stage"] == "aborted"
+        for key, chunk in chunks.items()
+    )
+    single = all(key in keys for key in (TYPES, LEADER, TOKEN))
+    prefixed = all(any(key.startswith(prefix) for key in keys) for prefix in (HISTORY, VOUCHED))
+    tried = any(chunk.get("tried") for chunk in chunks.values())
+    stages = {value[0]["stage"] for key, value in keys.items() if key.startswith("sg/job/")}
+    return lingering and single and prefixed and tried and stages == {"open", "aborted", "done"}
+
+
+def recorded_store(world: RecordingWorld) -> day.RecordedStore:
+    state = world.state
+    leases = [day.StoredLease(number, lease[0].total_seconds()) for number, lease in state.leases.items()]
+    entries = [
+        day.StoredEntry(key, world.values[key], mark, lease)
+        for key, (_, mark, lease) in sorted(state.keys.items())
+    ]
+    return day.RecordedStore(COMMIT, state.turn, state.next_lease, leases, entries)
+
+
+def recorded_surroundings(world: World) -> day.RecordedSurroundings:
+    machines = [_machine(world, worker) for worker in world.workers.values() if not worker.gone]
+    users = day.RecordedUsers(
+        {job: world.jobs[job] for job in sorted(world.accepted)},
+        {job: world.sent[job].total_seconds() for job in sorted(world.accepted)},
+        world.told,
+        sorted(world.asked_abort),
+        {job: at.total_seconds() for job, at in world.aborted_at.items()},
+        sorted(world.completed),
+        dict(world.starts),
+    )
+    now = world.clock.now().total_seconds()
+    return day.RecordedSurroundings(now, machines, world.cloud.made, world.cloud.answers, users)
+
+
+def _machine(world: World, worker: Worker) -> day.RecordedMachine:
+    machine = worker.machine
+    tasks = [
+        day.RecordedTask(
+            task.name,
+            task.attempt,
+            task.stage,
+            task.cause,
+            None if task.stage == "exited" else (task.due - world.clock.now()).total_seconds(),
+        )
+        for task in worker.tasks.values()
+    ]
+    return day.RecordedMachine(
+        machine.name,
+        machine.type,
+        machine.zone,
+        machine.spot,
+        machine.since.total_seconds(),
+        worker.session,
+        worker.tally,
+        worker.token,
+        sorted(worker.done),
+        tasks,
+    )
+
+
+def main() -> None:
+    world = run_until_recorded()
+    assert world.messages.keys() == {"Ping", "Relay", "Relayed", "Forward", "Forwarded"}
+    day.FIXTURES.mkdir(parents=True, exist_ok=True)
+    for name, content in (
+        ("store", recorded_store(world)),
+        ("messages", world.messages),
+        ("surroundings", recorded_surroundings(world)),
+    ):
+        text = msgspec.json.format(msgspec.json.encode(content), indent=1)
+        (day.FIXTURES / f"{name}.json").write_bytes(text + b"\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/recorded_day.py
@@ -0,0 +1,193 @@
+"""A day that production has run the first part of: the store as it left it, and machines and users with it.
+
+The store's part is bytes that production wrote (fixtures/production, made by record_production.py). What the
+machines run and what users were told stands beside it, so that a world can go on from there.
+"""
+
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from spindleglade.clock import seconds
+from tests.deployment import Deployment
+from tests.standins import Machine, Task, Worker
+from tests.world import World
+
+FIXTURES = Path(__file__).parent / "fixtures" / "production"
+# Such values that production gives an array of 250 tasks one chunk.
+RECORDED = Deployment(
+    capacity=24,
+    machine_cpus=16.0,
+    value_kb=16.85,
+    teams=(
+        {"name": "red", "cpus": 200.0, "cpus_max": 400.0},
+        {"name": "blue", "cpus": 100.0, "cpus_max": 200.0},
+    ),
+)
+LARGE_ARRAY = "job-000001"
+LARGE_ARRAY_TASKS = 250
+
+
+class StoredEntry(msgspec.Struct):
+    key: str
+    # The JSON text as it was written.
+    value: str
+    mark: int
+    lease: int | None = None
+
+
+class StoredLease(msgspec.Struct):
+    number: int
+    ttl_s: float
+
+
+class RecordedStore(msgspec.Struct):
+    commit: str
+    turn: int
+    next_lease: int
+    leases: list[StoredLease]
+    entries: list[StoredEntry]
+
+    def value(self, key: str) -> str:
+        return next(entry.value for entry in self.entries if entry.key == key)
+
+    def under(self, prefix: str) -> list[StoredEntry]:
+        return [entry for entry in self.entries if entry.key.startswith(prefix)]
+
+
+class RecordedTask(msgspec.Struct):
+    name: str
+    attempt: int
+    stage: str
+    cause: str | None
+    # Until it runs, or ends, if anything is under way.
+    left_s: float | None
+
+
+class RecordedMachine(msgspec.Struct):
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    since_s: float
+    session: int
+    tally: int
+    token: int
+    done: list[str]
+    tasks: list[RecordedTask]
+
+
+class RecordedUsers(msgspec.Struct):
+    jobs: dict[str, dict[str, Any]]
+    sent_s: dict[str, float]
+    told: dict[str, str]
+    asked_abort: list[str]
+    aborted_at_s: dict[str, float]
+    completed: list[str]
+    starts: dict[str, int]
+
+
+class RecordedSurroundings(msgspec.Struct):
+    """All but the store: when it is, the machines and what users know."""
+
+    at_s: float
+    machines: list[RecordedMachine]
+    machines_made: int
+    rentals: dict[str, list[str]]
+    users: RecordedUsers
+
+
+def read_store() -> RecordedStore:
+    return msgspec.json.decode((FIXTURES / "store.json").read_bytes(), type=RecordedStore)
+
+
+def read_messages() -> dict[str, bytes]:
+    return msgspec.json.decode((FIXTURES / "messages.json").read_bytes(), type=dict[str, bytes])
+
+
+def read_surroundings() -> RecordedSurroundings:
+    return msgspec.json.decode((FIXTURES / "surroundings.json").read_bytes(), type=RecordedSurroundings)
+
+
+def recorded_world(seed: int, deployment: Deployment = RECORDED, nodes: tuple[int, ...] = ()) -> World:
+    """A world that goes on from the recorded moment, with those nodes started."""
+
+    def begin(world: World) -> None:
+        _restore(world)
+        for index in nodes:
+            world.start_node(index)
+
+    return World(seed, deployment=deployment, begin=begin)
+
+
+def _restore(world: World) -> None:
+    surroundings = read_surroundings()
+    world.clock.advance(seconds(surroundings.at_s))
+    _restore_store(world, read_store())
+    _restore_users(world, surroundings.users)
+    _restore_machines(world, surroundings)
+
+
+def _restore_store(world: World, store: RecordedStore) -> None:
+    state = world.state
+    state.turn, state.next_lease = store.turn, store.next_lease
+    for lease in store.leases:
+        ttl = seconds(lease.ttl_s)
+        state.leases[lease.number] = [ttl, world.clock.now() + ttl]
+    for entry in store.entries:
+        state.keys[entry.key] = (msgspec.json.decode(entry.value), entry.mark, entry.lease)
+
+
+def _restore_users(world: World, users: RecordedUsers) -> None:
+    world.jobs.update(users.jobs)
+    world.sent.update({job: seconds(at) for job, at in users.sent_s.items()})
+    world.told.update(users.told)
+    world.accepted.update(users.told)
+    world.asked_abort.update(users.asked_abort)
+    world.aborted_at.update({job: seconds(at) for job, at in users.aborted_at_s.items()})
+    world.completed.update(users.completed)
+    world.starts.update(users.starts)
+
+
+def _restore_machines(world: World, surroundings: RecordedSurroundings) -> None:
+    world.cloud.made = surroundings.machines_made
+    world.cloud.answers.update(surroundings.rentals)
+    for recorded in surroundings.machines:
+        since = seconds(recorded.since_s)
+        machine = Machine(recorded.name, recorded.type, recorded.zone, recorded.spot, since, "running")
+        world.cloud.machines[machine.name] = machine
+        world.machine_up(machine)
+        worker = world.workers[machine.name]
+        worker.session, worker.tally, worker.token = recorded.session, recorded.tally, recorded.token
+        worker.done.update(recorded.done)
+        for task in recorded.tasks:
+            _restore_task(world, worker, task)
+
+
+def _restore_task(world: World, worker: Worker, recorded: RecordedTask) -> None:
+    task = Task(recorded.name, recorded.attempt, recorded.stage, recorded.cause)
+    worker.tasks[(task.name, task.attempt)] = task
+    if task.stage == "running":
+        world.task_on(worker.machine.name, task.name)
+    if recorded.left_s is not None:
+        worker.resume(task, seconds(recorded.left_s))
+
+
+def answers_everywhere(world: World, jobs: list[str]) -> dict[tuple[str, str], tuple[int, Any]]:
+    """What each node answers for each job, asked straight: the status and the body."""
+    got: dict[tuple[str, str], tuple[int, Any]] = {}
+    waiting: list[Deferred] = []
+    for name, node in world.nodes.items():
+        for job in jobs:
+            waiting.append(Deferred.fromCoroutine(node.handle("GET", f"/submissions/{job}", b"")))
+            waiting[-1].addCallback(
+                lambda answer, at=(name, job): got.update(
+                    {at: (answer.status, msgspec.json.decode(answer.body))}
+                )
+            )
+    world.run(timedelta(seconds=3))
+    assert len(got) == len(waiting)
+    return got
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -538,6 +538,13 @@
         length = 0.0 if task.name in self.done else self.run_s(task.name)
         self._after(task, seconds(length), self._exit, task, "done")
 
+    def resume(self, task: Task, left: timedelta) -> None:
+        """A task of a recorded day goes on with what it was at."""
+        if task.stage == "pulling":
+            self._after(task, left, self._run, task)
+        elif task.stage == "running":
+            self._after(task, left, self._exit, task, "done")
+
     def _exit(self, task: Task, cause: str) -> None:
         if task.stage == "exited":
             return
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -5,7 +5,8 @@
 
 from spindleglade.clock import seconds
 from spindleglade.tasks import spawn
-from tests.world import CANCEL, World
+from tests.deployment import CANCEL
+from tests.world import World
 
 
 def busy(seed, **fields):
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -8,7 +8,8 @@
 
 from spindleglade.clock import seconds
 from spindleglade.tasks import spawn
-from tests.world import CANCEL, Deployment, World
+from tests.deployment import CANCEL, Deployment
+from tests.world import World
 
 ROOMY = tuple({"name": name, "cpus": 40.0, "cpus_max": 80.0} for name in ("red", "blue"))
 
--- a/tests/test_smoke.py
+++ b/tests/test_smoke.py
@@ -17,8 +17,8 @@
 
 from spindleglade.clock import ReactorClock, seconds
 from spindleglade.web import Answer, Endpoint, HttpClient, NoAnswer
+from tests.deployment import TEAMS, TYPES
 from tests.standins import Cloud, StateService, Worker
-from tests.world import TEAMS, TYPES
 
 ROOT = Path(__file__).resolve().parent.parent
 
--- a/tests/test_whole_fleet.py
+++ b/tests/test_whole_fleet.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 from spindleglade.clock import seconds
-from tests.world import Deployment, World
+from tests.deployment import Deployment
+from tests.world import World
 
 MACHINES = 240
 TEAMS = tuple({"name": name, "cpus": 300.0, "cpus_max": 900.0} for name in ("red", "blue", "green"))
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -5,8 +5,9 @@
 
 from spindleglade.clock import seconds
 from spindleglade.tasks import spawn
+from tests.deployment import CANCEL
 from tests.standins import encode
-from tests.world import CANCEL, World
+from tests.world import World
 
 FAULTS = st.lists(
     st.tuples(
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,7 +5,6 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
@@ -14,281 +13,18 @@
 
 from spindleglade.app import Node
 from spindleglade.clock import ManualClock, seconds
-from spindleglade.leadership.links import Forward, Forwarded, LinkDown, Ping, Relay, Relayed
-from spindleglade.settings import OperatorSettings, Platform
-from spindleglade.settings.platform import Sibling
+from spindleglade.leadership.links import Message, decode_message
+from spindleglade.settings import OperatorSettings
 from spindleglade.sockets import Sockets
 from spindleglade.tasks import spawn
-from spindleglade.web import NoAnswer, NotSent, Response, Turns
+from spindleglade.web import Turns
+from tests.deployment import CANCEL, TYPES, Deployment, description, platform, size
+from tests.processes import Errors, LifeClock, SimHttp, SimLinks
 from tests.standins import Cloud, Machine, Reply, StateService, Worker, decode, encode
 
-CANCEL = seconds(20)
 # What the users allow once all troubles are over: no answer about a job, and waiting while there is room.
 FORGOTTEN = seconds(75)
 IDLE_ROOM = seconds(90)
-TYPES = [
-    {
-        "name": "m8",
-        "vcpus": 8.0,
-        "accelerators": 0.0,
-        "mem_gb": 32.0,
-        "local_gb": 50.0,
-        "pull_gb_per_s": 1.0,
-        "rate": 1.0,
-        "spot_price": 0.3,
-        "ready_s": 4.0,
-        "glades": ["a", "b"],
-    }
-]
-TEAMS = [
-    {"name": "red", "cpus": 8.0, "cpus_max": 24.0},
-    {"name": "blue", "cpus": 8.0, "cpus_max": 16.0},
-]
-
-
-@dataclass(frozen=True)
-class Deployment:
-    """What a world is like."""
-
-    nodes: int = 3
-    # Machines that the cloud has.
-    capacity: int = 5
-    report: timedelta = seconds(1)
-    lease: timedelta = seconds(6)
-    teams: tuple[dict, ...] = tuple(TEAMS)
-    rps: float = 300.0
-    write_rps: float = 100.0
-    cloud_rps: float = 5.0
-    sockets: int = 1024
-    # What a machine has.
-    machine_cpus: float = 8.0
-
-
-def platform(index: int, at: Deployment) -> Platform:
-    names = [f"node-{number}" for number in range(at.nodes)]
-    return msgspec.convert(
-        {
-            "node": names[index],
-            "zone": "ab"[index % 2],
-            "client_listen": f"10.0.0.{index}:1",
-            "peer_bind": f"10.0.0.{index}:2",
-            "siblings": [
-                {"node": name, "zone": "a", "endpoint": f"10.0.0.{number}:2"}
-                for number, name in enumerate(names)
-                if number != index
-            ],
-            "external": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"},
-            "params": {
-                "zones": ["a", "b"],
-                "teams": list(at.teams),
-                "workers": {
-                    "report_s": at.report.total_seconds(),
-                    "lease_s": at.lease.total_seconds(),
-                    "cancel_s": CANCEL.total_seconds(),
-                },
-                "state": {"rps": at.rps, "write_rps": at.write_rps, "value_kb": 16.0, "txn_ops": 12},
-                "cloud": {"rps": at.cloud_rps, "list_lag_s": 1.0},
-                "machine_limits": {"sockets": at.sockets},
-            },
-        },
-        Platform,
-    )
-
-
-def description(job_id: str, fields: dict) -> dict:
-    """A job as its user describes it; `run_s` is for the stand-ins alone."""
-    return {
-        "ref": job_id,
-        "bobbin": "c",
-        "crew": "red",
-        "weave": "array",
-        "urgency": "normal",
-        "threads": 2,
-        "vcpus": 2.0,
-        "accelerators": 0.0,
-        "mem_gb": 2.0,
-        "pattern": "img",
-        "size_gb": 1.0,
-        "frames": None,
-        "glade": None,
-        "together": False,
-        "scatter": False,
-        "windfall": True,
-        "reckon_s": 4.0,
-        "knot_s": 0.0,
-        "tie_s": 0.0,
-        "due_s": None,
-        "run_s": 4.0,
-    } | fields
-
-
-def size(job: dict) -> float:
-    return job["threads"] * job["vcpus"]
-
-
-class Errors(logging.Handler):
-    """What the nodes log as an error: some coroutine or listener broke, which no trouble may bring about."""
-
-    def __init__(self) -> None:
-        super().__init__(logging.ERROR)
-        self.found: list[str] = []
-
-    def emit(self, record: logging.LogRecord) -> None:
-        # What a world leaves unfinished is closed when it is collected, maybe while another one runs.
-        if "cannot reuse already awaited coroutine" not in record.getMessage():
-            self.found.append(record.getMessage())
-
-
-class LifeClock:
-    """A process's view of the clock: once it is killed, none of its timers runs any more."""
-
-    def __init__(self, clock: ManualClock) -> None:
-        self._clock = clock
-        self._began = clock.now()
-        self.alive = True
-        # Until then it stands still, while time goes on.
-        self.frozen = timedelta(0)
-
-    def now(self) -> timedelta:
-        return self._clock.now() - self._began
-
-    def utc(self) -> Any:
-        return self._clock.utc()
-
-    def later(self, delay: timedelta, call: Any, *args: Any) -> Any:
-        def fire() -> None:
-            if not self.alive:
-                return
-            still = self.frozen - self._clock.now()
-            if still > timedelta(0):
-                self._clock.later(still, fire)
-            else:
-                call(*args)
-
-        return self._clock.later(delay, fire)
-
-
-class SimHttp:
-    """The outgoing requests of one process."""
-
-    def __init__(self, world: "World", name: str, life: LifeClock) -> None:
-        self._world, self._name, self._life = world, name, life
-
-    async def request(
-        self,
-        method: str,
-        address: str,
-        path: str,
-        body: bytes | None = None,
-        timeout: timedelta | None = None,
-    ) -> Response:
-        waiter: Deferred[Response] = Deferred()
-
-        def answered(answer: Reply | None) -> None:
-            if self._life.alive and not waiter.called:
-                if answer is None:
-                    waiter.errback(NoAnswer("lost"))
-                else:
-                    waiter.callback(Response(*answer))
-
-        def late() -> None:
-            if not waiter.called:
-                waiter.errback(NoAnswer("timed out"))
-
-        target = self._world.names.get(address, address)
-        if self._world.refuses(self._name, target):
-            raise NotSent("refused")
-        sockets = self._world.sockets[self._name]
-        if target.startswith("n-"):
-            self._world.opened(sockets)
-        self._world.carry(self._name, target, method, path, body or b"", answered)
-        timer = self._life.later(timeout or seconds(5), late)
-        try:
-            return await waiter
-        finally:
-            if target.startswith("n-"):
-                sockets.closed()
-            if timer.active():
-                timer.cancel()
-
-    def let_go(self) -> None:
-        """Nothing is kept here."""
-
-
-class SimLink:
-    def __init__(self, world: "World", own: str, other: str) -> None:
-        self._world, self._own, self.other = world, own, other
-        self.state: Ping | None = None
-        self.sibling = Sibling(other, "a", "10.0.0.0:2")
-        # When the sibling was last heard, by this node's clock, which goes on while the node stands still.
-        self.heard: timedelta | None = None
-        self.shown: timedelta | None = None
-
-    @property
-    def linked(self) -> bool:
-        return self.other in self._world.nodes and not self._world.is_cut(self._own, self.other)
-
-    @property
-    def up(self) -> bool:
-        return self.linked and self._lately(self.heard)
-
-    @property
-    def shown_lately(self) -> bool:
-        return self._lately(self.shown)
-
-    def _lately(self, at: timedelta | None) -> bool:
-        return at is not None and self._world.lives[self._own].now() - at < seconds(2)
-
-    async def ask(self, make: Any, timeout: timedelta) -> Any:
-        if not self.up:
-            raise LinkDown(self.other)
-        node, message = self._world.nodes[self.other], make(0)
-        waiter: Deferred[Any] = Deferred()
-        life = self._world.lives[self._own]
-
-        async def serve() -> None:
-            if isinstance(message, Relay):
-                answer: Any = Relayed(0, node._relayed(message.reports))
-            else:
-                assert isinstance(message, Forward)
-                got = await node._forwarded(message.method, message.path, message.body)
-                answer = Forwarded(0, got.status, got.retry_after, got.body)
-            if self.up and life.alive and not waiter.called:
-                waiter.callback(answer)
-
-        def late() -> None:
-            if not waiter.called:
-                waiter.errback(LinkDown(self.other))
-
-        life.later(timeout, late)
-        self._world.lives[self.other].later(seconds(0.002), lambda: spawn(serve(), "sibling"))
-        return await waiter
-
-
-class SimLinks:
-    def __init__(self, world: "World", own: str, hello: Any, saw: Any) -> None:
-        self._world, self._own, self._hello, self._saw = world, own, hello, saw
-        self.links = [SimLink(world, own, name) for name in world.node_names if name != own]
-
-    def start(self) -> None:
-        self._ping()
-
-    def _ping(self) -> None:
-        for link in self.links:
-            if link.linked:
-                turn = self._world.nodes[self._own].replica.turn
-                state = self._world.nodes[link.other]._hello(turn)
-                life = self._world.lives[self._own]
-                life.later(seconds(0.005), self._hear, link, state, life.now())
-        self._world.lives[self._own].later(seconds(0.5), self._ping)
-
-    def _hear(self, link: SimLink, state: Ping, asked: timedelta) -> None:
-        if link.linked:
-            link.heard, link.state, link.shown = self._world.lives[self._own].now(), state, asked
-            self._saw(state, asked)
-
-    def to(self, node: str) -> SimLink | None:
-        return next((link for link in self.links if link.other == node and link.up), None)
 
 
 class World:
@@ -299,19 +35,24 @@
         error: float = 0.0,
         settings: OperatorSettings | None = None,
         deployment: Deployment | None = None,
+        begin: Callable[["World"], None] | None = None,
     ) -> None:
+        """`begin` sets up what there is when the world begins, and starts the nodes that run then; without it
+        the world is empty and all nodes start at once."""
         self.settings = settings or OperatorSettings()
         self.at = deployment or Deployment(capacity=capacity)
         self.clock = ManualClock()
         self.rng = random.Random(seed)
         self.error = error
-        self.state = StateService(self.clock, rps=self.at.rps, write_rps=self.at.write_rps)
+        self.state = StateService(
+            self.clock, self.at.value_kb, self.at.txn_ops, self.at.rps, self.at.write_rps
+        )
         self.cloud = Cloud(
             self.clock,
             self.rng,
             [kind | {"vcpus": self.at.machine_cpus} for kind in TYPES],
             self.at.capacity,
-            self._machine_up,
+            self.machine_up,
             self._machine_down,
         )
         self.led = 0
@@ -379,8 +120,11 @@
         self.passed_over: dict[str, timedelta] = {}
         self.looked = timedelta(0)
         self.broken: list[str] = []
-        for index in range(self.at.nodes):
-            self.start_node(index)
+        if begin is not None:
+            begin(self)
+        else:
+            for index in range(self.at.nodes):
+                self.start_node(index)
 
     # Processes.
 
@@ -688,6 +432,10 @@
         if not self.is_cut(source, target) and target not in self.not_receiving:
             self._serve(source, target, method, path, body)
 
+    def as_sent(self, message: Message) -> Message:
+        """A message between siblings as the other one reads it."""
+        return decode_message(msgspec.msgpack.encode(message))
+
     def _pass(self, source: str, target: str, deliver: Any) -> None:
         pair = frozenset((source, target))
         if target in self.not_receiving:
@@ -724,7 +472,7 @@
 
     # Machines.
 
-    def _machine_up(self, machine: Machine) -> None:
+    def machine_up(self, machine: Machine) -> None:
         def send(node: str, body: bytes, answered: Any) -> None:
             settled: list[bool] = []
 
@@ -751,7 +499,7 @@
             self.jobs,
             self.node_names,
             send,
-            self._task_on,
+            self.task_on,
             self._task_off,
             self._run_s,
             self.error,
@@ -799,7 +547,7 @@
         # A list says it of each task; a figure is about right for all.
         return lasts[int(index)] if isinstance(lasts, list) else lasts * self.rng.uniform(0.5, 1.5)
 
-    def _task_on(self, machine: str, task: str) -> None:
+    def task_on(self, machine: str, task: str) -> None:
         self.started += 1
         self.starts[task] += 1
         job_id = task.rpartition("/")[0]
