Production's layouts pinned by its bytes, and both ways of reading them tested

The recorded records and messages are decoded and encoded again unchanged by production's layouts, read by the code as it stands, and taken over by a leader with every placement, attempt number and done. What this code writes at unchanged limits decodes by production's layouts with the same meaning, and records that production ended, with unknown fields dropped, are read rightly.

--- /dev/null
+++ b/tests/production_writer.py
@@ -0,0 +1,89 @@
+"""A controller of the version in production, as the store sees it: it holds the leader's lease and writes.
+
+What it rewrites it first decodes by production's layouts, so fields that those do not have are dropped, as
+they are by a real process of that version. Tasks of its own it only takes up and ends on paper: machines hear
+nothing of it.
+"""
+
+from collections.abc import Callable
+from datetime import datetime
+from typing import Any
+
+import msgspec
+
+from spindleglade.clock import seconds
+from tests import production
+from tests.standins import StateService, encode
+from tests.world import World
+
+
+class ConditionFailed(Exception):
+    """A mark was not the one that the write was conditional on."""
+
+
+class ProductionWriter:
+    """Writes to the store of a world as a production process does, conditional on marks."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.alive = True
+
+    @property
+    def state(self) -> StateService:
+        return self.world.state
+
+    def keep_lease(self) -> None:
+        """Renews the lease of the leader key once a second, for as long as this process lives."""
+        entry = self.state.keys.get(production.LEADER)
+        if not self.alive or entry is None:
+            return
+        self.state.handle("PUT", f"/leases/{entry[2]}", b"")
+        self.world.clock.later(seconds(1), self.keep_lease)
+
+    def end(self) -> None:
+        self.alive = False
+
+    def read(self, key: str) -> Any:
+        value, _, _ = self.state.keys[key]
+        return production.decode_record(key, encode(value))
+
+    def mark(self, key: str) -> int:
+        return self.state.keys[key][1] if key in self.state.keys else 0
+
+    def write(self, key: str, record: Any, of_leader: bool = True) -> None:
+        conditions = [{"k": key, "mark": self.mark(key)}]
+        if of_leader:
+            conditions.append({"k": production.LEADER, "mark": self.mark(production.LEADER)})
+        value = msgspec.json.decode(production.encode_record(record))
+        body = encode({"when": conditions, "writes": [{"set": key, "v": value}]})
+        answer = self.state.handle("POST", "/txn", body)
+        assert isinstance(answer, tuple)
+        if answer[0] != 200:
+            raise ConditionFailed(key, answer)
+
+    def rewrite(self, key: str, change: Callable[[Any], Any]) -> None:
+        """Reads a record, changes it and writes it back."""
+        self.write(key, change(self.read(key)))
+
+    def end_job(self, job: str, stage: str) -> None:
+        """Its record says done or aborted from now on."""
+
+        def change(record: production.JobRecord) -> production.JobRecord:
+            return production.JobRecord(stage, record.spec, record.chunk, record.accepted)  # type: ignore[arg-type]
+
+        self.write(production.job_key(job), change(self.read(production.job_key(job))), of_leader=False)
+
+    def accept(self, description: dict, chunk: int, accepted: datetime) -> None:
+        """Accepts a job as production does, which ignores what it does not know of its description."""
+        spec = msgspec.json.decode(encode(description), type=production.Submission)
+        record = production.JobRecord("open", spec, chunk, accepted)
+        self.write(production.job_key(spec.id), record, of_leader=False)
+
+    def count_attempt(self, job: str, number: int) -> None:
+        """Rewrites a chunk in which a task that waits has been tried once more."""
+
+        def change(chunk: production.Chunk) -> production.Chunk:
+            task = min(chunk.tried)
+            return msgspec.structs.replace(chunk, tried=chunk.tried | {task: chunk.tried[task] + 1})
+
+        self.rewrite(production.chunk_key(job, number), change)
--- /dev/null
+++ b/tests/test_production.py
@@ -0,0 +1,286 @@
+"""Records and messages of the version in production, on the bytes that it wrote."""
+
+import msgspec
+import pytest
+
+from spindleglade.backfill.distributions import History
+from spindleglade.clock import seconds
+from spindleglade.fleet.messages import Types
+from spindleglade.leadership import election, links
+from spindleglade.submissions import records
+from tests import production
+from tests.deployment import description
+from tests.production_writer import ProductionWriter
+from tests.recorded_day import (
+    LARGE_ARRAY,
+    LARGE_ARRAY_TASKS,
+    RECORDED,
+    answers_everywhere,
+    read_messages,
+    read_store,
+    recorded_world,
+)
+from tests.world import World
+
+STORE = read_store()
+MESSAGES = read_messages()
+CURRENT_TYPES = {
+    production.JOBS: records.JobRecord,
+    production.TASKS: records.Chunk,
+    production.HISTORY: History,
+    production.VOUCHED: list[str],
+    production.TYPES: Types,
+    production.LEADER: election.LeaderRecord,
+    production.TOKEN: election.TokenRecord,
+}
+
+
+def recorded_jobs(stage=None):
+    """The recorded jobs by id, or those of one stage."""
+    found = {entry.key: production.decode_record(entry.key, entry.value) for entry in STORE.under("sg/job/")}
+    return {job.spec.id: job for job in found.values() if stage in (None, job.stage)}
+
+
+def recorded_chunks():
+    return {
+        production.split_chunk_key(entry.key): production.decode_record(entry.key, entry.value)
+        for entry in STORE.under(production.TASKS)
+    }
+
+
+# What production wrote, by its layouts: they are pinned by the bytes alone.
+
+
+@pytest.mark.parametrize("entry", STORE.entries, ids=lambda entry: entry.key)
+def test_the_layouts_fit_the_recorded_records(entry):
+    record = production.decode_record(entry.key, entry.value)
+    assert production.encode_record(record).decode() == entry.value
+
+
+@pytest.mark.parametrize("kind", sorted(MESSAGES))
+def test_the_layouts_fit_the_recorded_messages(kind):
+    message = production.decode_message(MESSAGES[kind])
+    assert type(message).__name__ == kind
+    assert production.encode_message(message) == MESSAGES[kind]
+
+
+def test_the_recording_has_a_record_of_each_kind():
+    assert {"open", "aborted", "done"} == {job.stage for job in recorded_jobs().values()}
+    chunks = recorded_chunks()
+    assert any(chunk.tried for chunk in chunks.values())
+    large = chunks[(LARGE_ARRAY, 0)]
+    assert large.done and len(large.placed) > 150
+    assert recorded_jobs()[LARGE_ARRAY].chunk == 254 and LARGE_ARRAY_TASKS == 250
+    aborted = recorded_jobs("aborted")
+    assert any(chunk.placed for (job, _), chunk in chunks.items() if job in aborted)
+    for prefix in CURRENT_TYPES:
+        assert STORE.under(prefix), prefix
+    assert production.decode_message(MESSAGES["Ping"]).aborts
+
+
+def test_chunk_keys_of_production_are_the_recorded_ones():
+    for entry in STORE.under(production.TASKS):
+        assert production.chunk_key(*production.split_chunk_key(entry.key)) == entry.key
+
+
+# The code as it stands reads them.
+
+
+@pytest.mark.parametrize("entry", STORE.entries, ids=lambda entry: entry.key)
+def test_recorded_records_are_read(entry):
+    layout = next(layout for prefix, layout in CURRENT_TYPES.items() if entry.key.startswith(prefix))
+    record = msgspec.json.decode(entry.value, type=layout)
+    old = production.decode_record(entry.key, entry.value)
+    # All that production knew stands there, with the same meaning.
+    assert says_all_of(msgspec.to_builtins(record), msgspec.to_builtins(old))
+
+
+def says_all_of(record, old):
+    """Whether a record says all that production's record says; it may say more."""
+    if isinstance(old, dict):
+        return all(name in record and says_all_of(record[name], old[name]) for name in old)
+    if isinstance(old, list):
+        return len(record) == len(old) and all(map(says_all_of, record, old))
+    return record == old
+
+
+@pytest.mark.parametrize("kind", sorted(MESSAGES))
+def test_recorded_messages_are_read(kind):
+    message = links.decode_message(MESSAGES[kind])
+    old = production.decode_message(MESSAGES[kind])
+    assert type(message).__name__ == kind
+    for name in old.__struct_fields__:
+        assert getattr(message, name) == getattr(old, name), name
+
+
+def leader_of(world):
+    """Runs until a leader has read everything, and gives it."""
+    for _ in range(400):
+        if world.leader() is not None:
+            return world.nodes[world.node_names[world.leader()]].leader
+        world.run(seconds(0.05))
+    raise AssertionError("nobody leads")
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_leader_takes_over_every_placement_attempt_number_and_done(seed):
+    world = recorded_world(seed, nodes=(1,))
+    # Nothing of the machines comes through before the leader is looked at.
+    machines = [worker.machine.address for worker in world.workers.values()]
+    world.cut(world.node_names[1], machines, False, seconds(3))
+    jobs = leader_of(world).cluster.jobs
+    open_jobs = recorded_jobs("open")
+    for (job, number), chunk in recorded_chunks().items():
+        assert job in jobs
+        first = number * recorded_jobs()[job].chunk
+        assert first == 0, "all recorded jobs have one chunk"
+        placed = {index: (one.attempt, one.machine, one.session) for index, one in jobs[job].placed.items()}
+        assert placed == {
+            index: (one.attempt, one.machine, one.session) for index, one in chunk.placed.items()
+        }
+        assert {index: jobs[job].attempts[index] for index in chunk.tried} == chunk.tried
+        assert all(jobs[job].attempts[index] == one.attempt for index, one in chunk.placed.items())
+        assert jobs[job].done == sum(last - first + 1 for first, last in chunk.done)
+        if job in open_jobs:
+            assert not jobs[job].aborted
+    # Those that are over are not started again.
+    assert not recorded_jobs("done").keys() & jobs.keys()
+    assert all(jobs[job].aborted for job in recorded_jobs("aborted") if job in jobs)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_recorded_jobs_are_answered_by_every_node(seed):
+    world = recorded_world(seed, nodes=(0, 1, 2))
+    world.run(seconds(3))
+    done, aborted = recorded_jobs("done"), recorded_jobs("aborted")
+    for (node, job), (status, body) in answers_everywhere(world, sorted(done | aborted)).items():
+        assert (status, body["stage"]) == (200, "done" if job in done else "aborted"), (node, job)
+        if job in done:
+            assert body["done"] == done[job].spec.tasks
+    open_jobs = recorded_jobs("open")
+    for at, (status, _) in answers_everywhere(world, sorted(open_jobs)).items():
+        assert status == 200, at
+
+
+# Production reads what the code as it stands writes, while the limits have not fallen.
+
+
+class NotingWorld(World):
+    """Keeps the sibling messages that were sent, as bytes, and the values that were written to each key."""
+
+    def __init__(self, *args, **named):
+        self.sent_messages = []
+        self.written = []
+        super().__init__(*args, **named)
+
+    def as_sent(self, message):
+        self.sent_messages.append((message, msgspec.msgpack.encode(message)))
+        return super().as_sent(message)
+
+    def _serve(self, source, target, method, path, body):
+        if target == "state" and path == "/txn":
+            writes = msgspec.json.decode(body)["writes"]
+            self.written += [(write["set"], write["v"]) for write in writes if "set" in write]
+        return super()._serve(source, target, method, path, body)
+
+
+def day_of_this_version():
+    world = NotingWorld(5, error=0.1, deployment=RECORDED)
+    world.run(seconds(3))
+    lasts = [1.0 + index % 20 for index in range(250)]
+    world.submit(1, threads=250, vcpus=1.0, mem_gb=0.1, run_s=lasts)
+    for number in range(2, 12):
+        world.clock.later(seconds(number), lambda n=number: world.submit(n, crew="blue", mem_gb=0.1))
+        if number % 4 == 0:
+            world.clock.later(seconds(number + 1.5), world.abort, f"job-{number:06d}")
+    world.run(seconds(12))
+    world.refuse(((world.leader() or 0) + 1) % 3, seconds(4))
+    world.run(seconds(8))
+    return world
+
+
+DAY = []
+
+
+def the_day():
+    """One day for the tests of this module: it is only looked at."""
+    if not DAY:
+        DAY.append(day_of_this_version())
+    return DAY[0]
+
+
+def test_what_is_written_is_read_by_production():
+    written = the_day().written
+    for prefix in (production.JOBS, production.TASKS, production.HISTORY, production.TYPES):
+        assert any(key.startswith(prefix) for key, _ in written), prefix
+    for key, value in written:
+        if any(key.startswith(prefix) for prefix in CURRENT_TYPES):
+            production.decode_record(key, msgspec.json.encode(value))
+
+
+def test_job_records_mean_the_same_to_production():
+    world = the_day()
+    for key, value in world.written:
+        if key.startswith(production.JOBS):
+            record = production.decode_record(key, msgspec.json.encode(value))
+            job = world.jobs[record.spec.id]
+            assert production.job_key(job["ref"]) == key
+            told = msgspec.json.decode(msgspec.json.encode(record.spec))
+            assert told == {name: value for name, value in job.items() if name in told}
+            assert record.chunk == 254 and record.accepted is not None
+
+
+def test_chunks_stand_where_production_looks_for_them():
+    world = the_day()
+    for key, value in world.written:
+        if key.startswith(production.TASKS):
+            job, number = production.split_chunk_key(key)
+            assert production.chunk_key(job, number) == key and number == 0
+            chunk = production.decode_record(key, msgspec.json.encode(value))
+            tasks = set(chunk.placed) | set(chunk.tried) | {last for _, last in chunk.done}
+            assert all(0 <= task < world.jobs[job]["threads"] for task in tasks)
+            assert not set(chunk.placed) & set(chunk.tried)
+            machines = {one.machine for one in chunk.placed.values()}
+            assert machines <= world.workers.keys() and all(one.attempt >= 1 for one in chunk.placed.values())
+
+
+def test_sibling_messages_mean_the_same_to_production():
+    sent = the_day().sent_messages
+    assert {type(message).__name__ for message, _ in sent} >= {"Ping", "Relay", "Relayed"}
+    for message, data in sent:
+        old = production.decode_message(data)
+        assert type(old).__name__ == type(message).__name__
+        for name in old.__struct_fields__:
+            assert getattr(old, name) == getattr(message, name), name
+
+
+# Records that production rewrites.
+
+
+@pytest.mark.parametrize("stage", ["done", "aborted"])
+def test_a_job_that_production_ended_is_over_at_every_node(stage):
+    """Production drops the fields that it does not know when it ends a job."""
+    world = recorded_world(3, nodes=(0, 1, 2))
+    world.run(seconds(4))
+    body = production_job(world, 501)
+    key = production.job_key(body["ref"])
+    value, mark, lease = world.state.keys[key]
+    # A later version's record may say more, in the record and in its description.
+    more = value | {"later": [1], "spec": value["spec"] | {"awaits": ["job-000001"], "later": 1}}
+    world.state._write([{"set": key, "v": more}])
+    world.run(seconds(1))
+    world.asked_abort.add(body["ref"])
+    ProductionWriter(world).end_job(body["ref"], stage)
+    assert "later" not in world.state.keys[key][0] and "later" not in world.state.keys[key][0]["spec"]
+    world.run(seconds(1))
+    for at, (status, answer) in answers_everywhere(world, [body["ref"]]).items():
+        assert (status, answer["stage"]) == (200, stage), at
+
+
+def production_job(world, number):
+    """A job that production accepts; no task of it starts, as it asks for a zone that there is not."""
+    body = description(f"job-{number:06d}", {"vcpus": 16.0, "mem_gb": 32.0, "threads": 1, "glade": "none"})
+    world.jobs[body["ref"]] = body
+    ProductionWriter(world).accept(body, 254, world.clock.utc())
+    world.run(seconds(1))
+    return body
