--- /dev/null
+++ b/tests/rules.py
@@ -0,0 +1,82 @@
+"""The rules of chained jobs, checked by where tasks ran in the world and what users were told."""
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from tests.deployment import CANCEL
+
+if TYPE_CHECKING:
+    from tests.world import World
+
+OVER = ("done", "aborted")
+
+
+class DependencyRules:
+    """Follows the dependencies between the jobs of a world, and notes in `world.broken` what breaks a rule.
+
+    - `too_early`: a task starts before all jobs that its job needs, directly or through others, are done.
+    - `orphaned`: a job is called pending or running more than `cancel_s` after a user was told that a job
+      before it is aborted, or has a task at all then: it may not have started.
+    - `contradiction`: a job is called done though one before it is called aborted.
+    """
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+        self._ancestors: dict[str, frozenset[str]] = {}
+        # When a user was first told that the job is aborted.
+        self.told_aborted: dict[str, timedelta] = {}
+
+    def ancestors(self, job: str) -> frozenset[str]:
+        """All jobs that it needs, directly or through others. They are fixed when it is submitted."""
+        if job not in self._ancestors:
+            found: set[str] = set()
+            open_jobs = list(self._world.jobs[job].get("awaits") or ())
+            while open_jobs:
+                ancestor = open_jobs.pop()
+                if ancestor in found:
+                    continue
+                found.add(ancestor)
+                open_jobs += self._ancestors.get(ancestor) or self._world.jobs[ancestor].get("awaits") or ()
+            self._ancestors[job] = frozenset(found)
+        return self._ancestors[job]
+
+    def released(self, job: str) -> bool:
+        """Whether all that it needs is done, by what ran."""
+        return all(map(self._world.is_complete, self.ancestors(job)))
+
+    def cancelled(self, job: str) -> bool:
+        """Whether a user has asked to cancel it or a job before it."""
+        return job in self._world.asked_abort or not self._world.asked_abort.isdisjoint(self.ancestors(job))
+
+    def aborted_ancestors(self, job: str) -> list[str]:
+        """The jobs before it that a user was told are aborted."""
+        return sorted(self.ancestors(job) & self.told_aborted.keys())
+
+    def task_started(self, job: str, task: str) -> None:
+        missing = [one for one in sorted(self.ancestors(job)) if not self._world.is_complete(one)]
+        if missing:
+            self._broken(f"too_early {task} started while {missing} are not done")
+        if self.aborted_ancestors(job):
+            self._broken(f"orphaned {task} started though {self.aborted_ancestors(job)} are aborted")
+
+    def told(self, job: str, stage: str) -> None:
+        """A user got this answer now."""
+        now = self._world.clock.now()
+        if stage == "aborted":
+            self.told_aborted.setdefault(job, now)
+        aborted = self.aborted_ancestors(job)
+        if stage == "done" and aborted:
+            self._broken(f"contradiction {job} is called done though {aborted} are aborted")
+        since = min((self.told_aborted[one] for one in aborted), default=now)
+        if stage not in OVER and now - since > CANCEL:
+            self._broken(f"orphaned {job} is called {stage} though one of {aborted} is aborted since {since}")
+
+    def look(self) -> None:
+        """At any moment: no task runs whose job comes after an aborted one."""
+        running = {task.rpartition("/")[0] for task, machines in self._world.on.items() if machines}
+        for job in sorted(running):
+            if self.aborted_ancestors(job):
+                self._broken(f"orphaned {job} has tasks though {self.aborted_ancestors(job)} are aborted")
+
+    def _broken(self, what: str) -> None:
+        self._world.broken.append(f"{what} at {self._world.clock.now()}")
--- a/tests/world.py
+++ b/tests/world.py
@@ -20,6 +20,7 @@
 from spindleglade.web import Turns
 from tests.deployment import CANCEL, TYPES, Deployment, description, platform, size
 from tests.processes import Errors, LifeClock, SimHttp, SimLinks
+from tests.rules import OVER, DependencyRules
 from tests.standins import Cloud, Machine, Reply, StateService, Worker, decode, encode
 
 # What the users allow once all troubles are over: no answer about a job, and waiting while there is room.
@@ -120,6 +121,10 @@
         self.passed_over: dict[str, timedelta] = {}
         self.looked = timedelta(0)
         self.broken: list[str] = []
+        self.dependencies = DependencyRules(self)
+        # Told of each job when its user first hears that it is accepted, and when it is over.
+        self.when_accepted: list[Callable[[str], None]] = []
+        self.when_over: list[Callable[[str], None]] = []
         if begin is not None:
             begin(self)
         else:
@@ -552,6 +557,7 @@
         self.starts[task] += 1
         job_id = task.rpartition("/")[0]
         job, now = self.jobs[job_id], self.clock.now()
+        self.dependencies.task_started(job_id, task)
         self.on.setdefault(task, set()).add(machine)
         if len(self.on[task]) > 1:
             self.broken.append(f"ran_twice {task} on {sorted(self.on[task])} at {now}")
@@ -586,12 +592,12 @@
         worker = self.workers[machine]
         if any(entry.name == task and entry.cause == "done" for entry in worker.tasks.values()):
             self.completed.add(task)
-            if self._complete(job["ref"]) and self.rng.random() < self.cancel_at_end:
+            if self.is_complete(job["ref"]) and self.rng.random() < self.cancel_at_end:
                 self.counts["cancelled at its end"] += 1
                 # At once, or while its end is on the way to the controllers.
                 self.clock.later(seconds(self.rng.choice([0.0, 0.05, 0.3, 0.6])), self.abort, job["ref"])
 
-    def _complete(self, job: str) -> bool:
+    def is_complete(self, job: str) -> bool:
         return all(f"{job}/{index}" in self.completed for index in range(self.jobs[job]["threads"]))
 
     # Users.
@@ -681,20 +687,24 @@
         self.ask("GET", f"/submissions/{job_id}", b"", told, 0, at)
 
     def _told(self, job_id: str, stage: str, before: str | None = None) -> None:
+        new = job_id not in self.accepted
         self.accepted.add(job_id)
+        self.dependencies.told(job_id, stage)
         if before in ("done", "aborted") and stage != before:
             self.broken.append(f"went_back {job_id} from {before} to {stage}")
         known = self.told.get(job_id)
         if {stage, known} == {"done", "aborted"}:
             # Whichever came first, and wherever: both are for good.
             self.broken.append(f"went_back {job_id} is called {known} and {stage}")
-        if stage == "aborted" and job_id not in self.asked_abort:
+        if stage == "aborted" and not self.dependencies.cancelled(job_id):
             self.broken.append(f"went_back {job_id} aborted by nobody")
-        if stage == "done" and not self._complete(job_id):
+        if stage == "done" and not self.is_complete(job_id):
             self.broken.append(f"not_done {job_id}")
         if known in ("done", "aborted"):
             return
         self.told[job_id] = stage
+        for call in (*(self.when_accepted if new else ()), *(self.when_over if stage in OVER else ())):
+            call(job_id)
         if self.close_looks and (known is None or stage in ("done", "aborted")):
             self._look_closely(job_id)
 
@@ -723,7 +733,7 @@
         """By class, team or whatever `key` gives: how much of its jobs is done, of those nobody cancelled."""
         found: dict = {}
         for job_id, job in self.jobs.items():
-            if job_id not in self.asked_abort:
+            if not self.dependencies.cancelled(job_id):
                 found.setdefault(key(job), []).append(self.told.get(job_id) == "done")
         return {name: sum(done) / len(done) for name, done in found.items()}
 
@@ -748,7 +758,8 @@
             assert min(shares.values(), default=1.0) >= 0.5, shares
         waits = {
             job: self.began.get(job, self.clock.now() + seconds(240)) - self.sent[job]
-            for job in largest - self.asked_abort
+            for job in largest
+            if not self.dependencies.cancelled(job)
         }
         late = {job: wait for job, wait in waits.items() if wait >= seconds(240)}
         assert not late, late
@@ -803,7 +814,8 @@
             job = self.jobs[job_id]
             tasks = [f"{job_id}/{index}" for index in range(job["threads"])]
             if (
-                job_id in self.asked_abort
+                self.dependencies.cancelled(job_id)
+                or not self.dependencies.released(job_id)
                 or self.told.get(job_id) in ("done", "aborted")
                 or all(task in self.completed or self.on.get(task) for task in tasks)
                 or not self._fits(job, free, held)
@@ -830,6 +842,7 @@
         self.state.expire()
         self._look_at_leader()
         self._look_at_cancelled()
+        self.dependencies.look()
         self._look_for_idle_room()
         for job_id, asked in self.asked.items():
             since = max(self.answered.get(job_id, timedelta(0)), self.calm, self.sent.get(job_id, asked))
