Upgrade and falling limits in the simulated deployment, from the recorded store

At every change of the store no done, attempt number or open task may be lost. tests/test_limits.py needs the state service's lower limits.

--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,157 @@
+"""The state service lowers its limits amid the load, while chunks that production recorded are over them."""
+
+from dataclasses import replace
+
+import pytest
+
+from spindleglade.clock import seconds
+from tests.production import TASKS
+from tests.recorded_day import LARGE_ARRAY, RECORDED, recorded_world
+from tests.rules import OVER
+from tests.standins import encode
+from tests.stored_tasks import Attempts, StoredTasks
+
+# Values, transactions and rates as they may be from some moment on.
+NEXT = {"value_kb": 2.0, "txn_ops": 4, "rps": 150.0, "write_rps": 40.0}
+ANNOUNCED = replace(RECORDED, next_limits=NEXT)
+
+
+def begin_day(seed):
+    """Production's day goes on with this version, which is told of the next limits; new arrays come in."""
+    world = recorded_world(seed, ANNOUNCED, nodes=(0, 1, 2))
+    StoredTasks(world)
+    Attempts(world)
+    for job in list(world.jobs):
+        world.watch(job)
+    for number in range(700, 706):
+        world.clock.later(seconds(2 + (number - 700) * 2), submit_array, world, number)
+    return world
+
+
+def submit_array(world, number):
+    array = {"threads": 60, "vcpus": 1.0, "mem_gb": 0.1, "run_s": 3.0, "crew": "blue"}
+    world.watch(world.submit(number, **array))
+
+
+def lower(world, at):
+    world.trouble(seconds(at + 5))
+    world.clock.later(seconds(at), lambda: world.state.lower_limits(**NEXT))
+
+
+def settle(world, span=150.0):
+    end = max(world.clock.now(), world.calm) + seconds(span)
+    while world.clock.now() < end and any(world.told.get(job) not in OVER for job in world.jobs):
+        world.run(seconds(1))
+    open_jobs = {job: world.told.get(job) for job in world.jobs if world.told.get(job) not in OVER}
+    assert not open_jobs, open_jobs
+    # A transaction that was too large is never sent again unchanged.
+    refused = world.state.too_large
+    assert len(set(refused)) == len(refused)
+
+
+def largest_value(world):
+    return max(len(encode(value)) for value, _, _ in world.state.keys.values())
+
+
+@pytest.mark.parametrize("after", [0.1, 1.0, 4.0, 9.0])
+def test_limits_that_fall_amid_load_lose_nothing(after):
+    """Before anybody leads, as a leader reads, and while it has rewritten some chunks already."""
+    world = begin_day(600)
+    lower(world, after)
+    assert largest_value(world) > NEXT["value_kb"] * 1024
+    world.run(seconds(30))
+    settle(world)
+    assert world.told[LARGE_ARRAY] == "done"
+    assert not any(key.startswith(TASKS + LARGE_ARRAY) for key in world.state.keys)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_leaders_change_while_chunks_are_moved(seed):
+    world = begin_day(610 + seed)
+    lower(world, 3.0)
+    world.clock.later(seconds(2.5), world.change_leaders, 7, seconds(9))
+    world.run(seconds(30))
+    assert world.counts["leaders"] > 3
+    settle(world)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("which", ["late_writes", "lost_answers"])
+def test_transactions_without_an_answer_while_chunks_are_moved(seed, which):
+    world = begin_day(620 + seed)
+    lower(world, 3.0)
+    world.during(seconds(15), which, 0.3)
+    for at in (5, 9):
+        world.clock.later(
+            seconds(at), lambda: world.leader() is None or world.restart(world.leader(), seconds(1))
+        )
+    world.run(seconds(30))
+    assert world.counts["astray"] > 5
+    settle(world)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_an_outage_and_a_restart_of_all_while_chunks_are_moved(seed):
+    world = begin_day(630 + seed)
+    lower(world, 3.0)
+    world.clock.later(seconds(4), world.outage, seconds(3))
+    for index in range(3):
+        world.clock.later(seconds(3.5 + index / 2), world.restart, index, seconds(1 + index / 2))
+    world.run(seconds(30))
+    settle(world)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_a_job_of_production_is_cancelled_while_its_chunk_is_moved(seed):
+    world = begin_day(640 + seed)
+    lower(world, 3.0)
+    world.clock.later(seconds(3.3 + seed / 3), world.abort, LARGE_ARRAY)
+    world.run(seconds(30))
+    settle(world)
+    assert world.told[LARGE_ARRAY] == "aborted"
+
+
+def test_the_leader_keeps_its_lease_at_the_new_rates():
+    """Refusals for the rate may not starve the renewal of the lease."""
+    world = begin_day(650)
+    lower(world, 3.0)
+    world.run(seconds(4))
+    leaders = world.counts["leaders"]
+    world.run(seconds(30))
+    assert world.counts["leaders"] == leaders
+    settle(world)
+
+
+def test_new_values_keep_to_the_next_limits_from_the_start():
+    """Nothing new is written over them even before they hold."""
+    world = begin_day(660)
+    before = set(world.state.keys)
+    largest = []
+    write = world.state._write
+
+    def note(writes):
+        largest.extend(len(encode(one["v"])) for one in writes if "set" in one and one["set"] not in before)
+        write(writes)
+
+    world.state._write = note
+    world.watch(world.submit(720, threads=120, vcpus=1.0, mem_gb=0.1, run_s=3.0))
+    world.run(seconds(25))
+    assert max(largest) <= NEXT["value_kb"] * 1024
+    settle(world)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_a_long_list_of_dependencies_fits_the_next_limits(seed):
+    """Needs dependencies as well."""
+    world = begin_day(670 + seed)
+    lower(world, 12.0)
+    world.run(seconds(2))
+    first = [world.submit(800 + number, mem_gb=0.1, threads=1, run_s=0.5) for number in range(150)]
+    for job in first:
+        world.watch(job)
+    while not world.accepted >= set(first) and world.clock.now() < seconds(90):
+        world.run(seconds(0.5))
+    for number in (2000, 2001):
+        world.watch(world.submit(number, mem_gb=0.1, threads=1, awaits=first, crew="blue"))
+        world.run(seconds(10))
+    settle(world)
