--- a/tests/rules.py
+++ b/tests/rules.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from tests.deployment import CANCEL
+from tests.production import JOBS
 
 if TYPE_CHECKING:
     from tests.world import World
@@ -14,7 +15,8 @@
 class DependencyRules:
     """Follows the dependencies between the jobs of a world, and notes in `world.broken` what breaks a rule.
 
-    - `too_early`: a task starts before all jobs that its job needs, directly or through others, are done.
+    - `too_early`: a task starts before all jobs that its job needs, directly or through others, are done, or
+      before the store says that they are: reports alone release nothing.
     - `orphaned`: a job is called pending or running more than `cancel_s` after a user was told that a job
       before it is aborted, or has a task at all then: it may not have started.
     - `contradiction`: a job is called done though one before it is called aborted.
@@ -56,6 +58,9 @@
         missing = [one for one in sorted(self.ancestors(job)) if not self._world.is_complete(one)]
         if missing:
             self._broken(f"too_early {task} started while {missing} are not done")
+        unrecorded = [one for one in sorted(self.ancestors(job)) if not self._is_recorded_done(one)]
+        if unrecorded:
+            self._broken(f"too_early {task} started while no record says that {unrecorded} are done")
         if self.aborted_ancestors(job):
             self._broken(f"orphaned {task} started though {self.aborted_ancestors(job)} are aborted")
 
@@ -78,5 +83,9 @@
             if self.aborted_ancestors(job):
                 self._broken(f"orphaned {job} has tasks though {self.aborted_ancestors(job)} are aborted")
 
+    def _is_recorded_done(self, job: str) -> bool:
+        record = self._world.state.keys.get(JOBS + job)
+        return record is not None and record[0]["stage"] == "done"
+
     def _broken(self, what: str) -> None:
         self._world.broken.append(f"{what} at {self._world.clock.now()}")
