--- a/spindleglade/test_leader.py
+++ b/spindleglade/test_leader.py
@@ -22,7 +22,7 @@
 )
 from spindleglade.tasks import spawn
 from spindleglade.workers.test_cluster import TOKEN, make_cluster, spec
-from tests.world import Deployment, platform
+from tests.deployment import Deployment, platform
 
 
 class Store:
