Look at the term before each request to the cloud, also before a further try

A release without an answer was tried again every 0.7 s and a rental up to five times without asking whether the term still held, and both waited for the rate after it had been looked at. A leader that stood still in between would have given back machines that its successor used.

--- a/spindleglade/fleet/client.py
+++ b/spindleglade/fleet/client.py
@@ -1,6 +1,8 @@
 """Client of the cloud, by its published protocol. Calls end like the state client's: an answer, `Refused`
-with the reason the cloud gave, or `Silent` where the request may still be carried out."""
+with the reason the cloud gave, or `Silent` where the request may still be carried out. Besides, `Withheld` is
+raised for a request that its caller may no longer make once its turn has come."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 
@@ -27,6 +29,10 @@
     """No answer: the request may have been carried out, or may still be."""
 
 
+class Withheld(Exception):
+    """Not sent: the caller may not make the request any more."""
+
+
 class CloudClient:
     def __init__(self, http: Requester, address: str, clock: Clock, rps: float, timeout: timedelta) -> None:
         self._http = http
@@ -36,10 +42,14 @@
         # The leader makes nearly all calls; the others only ask for the types when they start.
         self._budget = Budget(clock, rps * 0.8, rps)
 
-    async def _call(self, method: str, path: str, body: Any, kind: Any) -> Any:
+    async def _call(
+        self, method: str, path: str, body: Any, kind: Any, allowed: Callable[[], bool] | None = None
+    ) -> Any:
         delay = self._budget.reserve()
         if delay:
             await sleep(self._clock, delay)
+        if allowed is not None and not allowed():
+            raise Withheld(path)
         encoded = None if body is None else msgspec.json.encode(body)
         try:
             response: Response = await self._http.request(method, self._address, path, encoded, self._timeout)
@@ -61,11 +71,11 @@
     async def types(self) -> list[MachineType]:
         return (await self._call("GET", "/machine_types", None, Types)).types
 
-    async def rent(self, rent: Rent) -> list[str]:
-        return (await self._call("POST", "/hosts", rent, Rented)).machines
+    async def rent(self, rent: Rent, allowed: Callable[[], bool]) -> list[str]:
+        return (await self._call("POST", "/hosts", rent, Rented, allowed)).machines
 
-    async def release(self, names: list[str]) -> None:
-        await self._call("POST", "/hosts/release", Release(names), None)
+    async def release(self, names: list[str], allowed: Callable[[], bool]) -> None:
+        await self._call("POST", "/hosts/release", Release(names), None, allowed)
 
     async def machines(self) -> list[Listed]:
         found: list[Listed] = []
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -12,7 +12,15 @@
 
 from spindleglade.backfill.snapshot import Freeing, Plan, Unmet, claimable_cpus, idle_time
 from spindleglade.clock import ZERO, Clock, seconds, sleep
-from spindleglade.fleet.client import MOST_RELEASED, MOST_RENTED, CloudClient, NoCapacity, Refused, Silent
+from spindleglade.fleet.client import (
+    MOST_RELEASED,
+    MOST_RENTED,
+    CloudClient,
+    NoCapacity,
+    Refused,
+    Silent,
+    Withheld,
+)
 from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, Rooms, rentals, soon_free
 from spindleglade.fleet.messages import Listed, MachineType, Rent
 from spindleglade.settings.operator import FleetSettings, WorkerSettings
@@ -308,7 +316,11 @@
         try:
             for _ in range(5):
                 try:
-                    names = await self._cloud.rent(rent)
+                    names = await self._cloud.rent(rent, self._proven)
+                except Withheld:
+                    # What an earlier try may have brought is found in the list.
+                    log.info("rental given up request=%s reason=no proof of the term", rent.request)
+                    return
                 except NoCapacity:
                     self._refusals.refused(key, self._clock.now())
                     log.info("rental refused type=%s zone=%s spot=%s reason=no capacity", *key)
@@ -422,8 +434,10 @@
     async def _release_part(self, names: dict[str, str]) -> None:
         while not self._stopped:
             try:
-                await self._cloud.release(list(names))
-            except (Refused, Silent) as error:
+                # Each try needs the term: a leader that stood still between two of them may have a successor
+                # that uses the machines.
+                await self._cloud.release(list(names), self._proven)
+            except (Refused, Silent, Withheld) as error:
                 log.info("release delayed machines=%s reason=%s", ",".join(names), error)
                 await sleep(self._clock, seconds(0.7))
                 continue
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -7,16 +7,18 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from twisted.internet.defer import ensureDeferred
 
 from spindleglade.backfill.snapshot import Freeing, Plan, Unmet
 from spindleglade.backfill.test_planner import job, machine
-from spindleglade.clock import ManualClock, seconds
-from spindleglade.fleet.client import NoCapacity
+from spindleglade.clock import ManualClock, seconds, sleep
+from spindleglade.fleet.client import CloudClient, NoCapacity, Silent, Withheld
 from spindleglade.fleet.demand import Offer, Refusals, Room, Rooms, rentals, soon_free
 from spindleglade.fleet.manager import FleetManager
 from spindleglade.fleet.messages import Listed, MachineType
 from spindleglade.settings import Team
 from spindleglade.settings.operator import FleetSettings, WorkerSettings
+from spindleglade.web import Response
 from spindleglade.workers.attempts import Machine
 from spindleglade.workers.test_cluster import make_cluster
 
@@ -141,11 +143,11 @@
     """No machine of the other kind comes free by that."""
 
     class FullCloud(RecordingCloud):
-        async def rent(self, rent):
+        async def rent(self, rent, allowed):
             self.asked.append(("rent", clock.now()))
             raise NoCapacity
 
-        async def release(self, names):
+        async def release(self, names, allowed):
             self.asked.append(("release", clock.now()))
 
         async def machines(self):
@@ -207,11 +209,11 @@
     def __init__(self):
         self.asked = []
 
-    async def rent(self, rent):
+    async def rent(self, rent, allowed):
         self.asked.append("rent")
         return []
 
-    async def release(self, names):
+    async def release(self, names, allowed):
         self.asked.append(names)
 
     async def machines(self):
@@ -220,7 +222,7 @@
 
 def test_no_ordinary_machine_is_rented_for_idle_time_work_however_long_it_waits():
     class NoSpot(RecordingCloud):
-        async def rent(self, rent):
+        async def rent(self, rent, allowed):
             self.asked.append(rent.spot)
             if rent.spot:
                 raise NoCapacity
@@ -271,7 +273,7 @@
 
 
 def manager(soonest, proven=True, cloud=None, clock=None):
-    """A fleet manager that is asked only for its judgement."""
+    """A fleet manager that is asked only for its judgement. `proven` is a value, or a call that gives it."""
     types = [MachineType("s", 8.0, 32.0, 1.0, 0.3, 20.0, 50.0, 0.25, 0.0, ["a"])]
     return FleetManager(
         make_cluster(),
@@ -284,7 +286,7 @@
         WorkerSettings(),
         None,
         4,
-        lambda: proven,
+        proven if callable(proven) else lambda: proven,
         soonest,
         lambda: None,
         lambda address, session: None,
@@ -307,3 +309,70 @@
     fleet.start()
     clock.advance(seconds(2))
     assert cloud.asked == ([["n-2"], ["n-1"], "rent"] if proven else [])
+
+
+class HttpStandIn:
+    """Takes each request down and answers nothing of use."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def request(self, method, address, path, body=None, timeout=None):
+        self.asked.append(path)
+        return Response(200, b"{}")
+
+
+def test_a_request_that_waited_for_its_turn_is_not_sent_once_its_term_is_not_proven():
+    clock, http = ManualClock(), HttpStandIn()
+    cloud = CloudClient(http, "x:1", clock, 1.0, seconds(4))
+    proven, ended = [True], []
+
+    def release():
+        waiter = ensureDeferred(cloud.release(["n-1"], lambda: proven[0]))
+        waiter.addErrback(lambda failure: ended.append(failure.type))
+
+    release()
+    assert len(http.asked) == 1
+    # The second one has to wait for the rate, and the leader stands still meanwhile.
+    release()
+    proven[0] = False
+    clock.advance(seconds(5))
+    assert len(http.asked) == 1 and ended == [Withheld]
+
+
+def test_a_release_or_rental_without_an_answer_is_not_tried_again_without_a_term():
+    """A leader that stood still between two tries gave back what its successor used."""
+
+    class SilentCloud(RecordingCloud):
+        async def rent(self, rent, allowed):
+            await self._try("rent", allowed)
+
+        async def release(self, names, allowed):
+            await self._try("release", allowed)
+
+        async def _try(self, what, allowed):
+            if not allowed():
+                raise Withheld
+            self.asked.append(what)
+            await sleep(clock, seconds(4))
+            raise Silent
+
+        async def machines(self):
+            return []
+
+    clock, cloud, proven = ManualClock(), SilentCloud(), [True]
+    fleet = manager(None, lambda: proven[0], cloud, clock)
+    fleet._cluster.machines["n-1"] = Machine("n-1", "", "s", "a", True, heard=seconds(0))
+    fleet.demand(Plan(unmet=[Unmet(job("job-1", 4.0), 1, False)]))
+    clock.advance(seconds(60))
+    fleet.start()
+    clock.advance(seconds(1))
+    assert sorted(cloud.asked) == ["release", "rent"]
+    proven[0] = False
+    clock.advance(seconds(70))
+    assert sorted(cloud.asked) == ["release", "rent"]
+    # It leads after all, so the machine is given back.
+    proven[0] = True
+    clock.advance(seconds(2))
+    assert cloud.asked.count("release") == 2
+    fleet.stop()
