Let a new leader go on trying a failing job by one task

It forgot which jobs were in doubt and started their whole batch again. Trials all fall to the first task, so its attempts on record run ahead of the others'. Attempts alone were ruled out as a sign: tasks lost with machines or leases look the same. No stored layout changed.

Each condition was taken out in a copy; the tests of it failed.

--- a/spindleglade/workers/recording.py
+++ b/spindleglade/workers/recording.py
@@ -1,11 +1,33 @@
 """What the store holds of the cluster state: reading it, and what of it is to be written next."""
 
+import logging
 from datetime import timedelta
 
 from spindleglade.submissions.records import TASKS, Chunk, JobRecord, chunk_key
 from spindleglade.workers.attempts import DONE, PLACED, ZERO, Assignment, Batch, Job, Machine
 from spindleglade.workers.cluster_base import ClusterBase
 
+log = logging.getLogger("spindleglade.workers")
+
+# So many attempts more than any other task of its job a task has had that was tried alone.
+ATTEMPTS_ALONE = 2
+
+
+def _was_on_trial(job: Job) -> bool:
+    """Whether the attempts on record show that a former leader tried one task of the job at a time, because
+    it failed everywhere: the first task, which is the one tried, has had several attempts more than each
+    other one, no other is placed, and none is done. What was lost with machines or leases does not look so,
+    since all that ran have then lost about as many; work that saves may, being stopped and started again with
+    nothing wrong."""
+    spec = job.spec
+    first = job.attempts.get(0, 0)
+    if first <= ATTEMPTS_ALONE or job.done or spec.whole or spec.checkpoint_s > 0:
+        return False
+    if any(index != 0 for index in job.placed):
+        return False
+    most_of_others = max((tried for index, tried in job.attempts.items() if index != 0), default=0)
+    return 0 < most_of_others <= first - ATTEMPTS_ALONE
+
 
 class Recording(ClusterBase):
     def take_job(self, record: JobRecord, mark: int, now: timedelta = ZERO, age: timedelta = ZERO) -> None:
@@ -79,6 +101,9 @@
             for job in list(self.jobs.values()):
                 if job.complete and job.open:
                     self.dirty[(job.id, 0)] = None
+                if _was_on_trial(job):
+                    job.backoff = self.rules.backoff
+                    log.info("job still on trial job=%s", job.id)
                 self._retire(job)
 
     def committed(self, job_id: str, number: int, version: int) -> None:
--- a/spindleglade/workers/test_cluster.py
+++ b/spindleglade/workers/test_cluster.py
@@ -498,6 +498,71 @@
     assert tries() == [5] and not harness.cluster.machines["n-2"].errors
 
 
+def next_leader(harness, job):
+    """The cluster as a new leader reads it from the records."""
+    cluster = make_cluster()
+    cluster.take_job(JobRecord("open", job.spec, job.chunk), 2)
+    for number in range(job.spec.tasks // job.chunk):
+        chunk = job.encode(number)
+        if chunk is not None:
+            cluster.load_chunk(job.id, number, chunk, harness.now)
+    cluster.loaded()
+    return cluster
+
+
+def waiting(cluster, job, now):
+    return sum(len(view.waiting) for view in cluster.snapshot(now).jobs if view.id == job)
+
+
+def test_a_new_leader_goes_on_trying_a_job_that_fails_everywhere_by_one_task():
+    """It forgot which jobs fail, and started their whole batch again."""
+    harness = Harness()
+    harness.cluster.take_job(JobRecord("open", spec("job-2", 6), 1), 2)
+    harness.report()
+    harness.report(machine="n-2")
+    job = harness.cluster.jobs["job-2"]
+    for machines in (["n-1", "n-1", "n-2", "n-2"], ["n-1"], ["n-2"]):
+        start_all(harness, "job-2", machines)
+        end_all(harness, "job-2", "error")
+        harness.now += seconds(20)
+    assert waiting(next_leader(harness, job), "job-2", harness.now) == 1
+    # Also where the task that is tried is on a machine just then; and the others follow once it has run.
+    start_all(harness, "job-2", ["n-1"])
+    harness.cluster = cluster = next_leader(harness, job)
+    assert waiting(cluster, "job-2", harness.now) == 0
+    end_all(harness, "job-2", "running")
+    harness.now += seconds(5.5)
+    assert waiting(cluster, "job-2", harness.now) == 5
+
+
+@pytest.mark.parametrize(
+    "tried, placed, done, fields",
+    [
+        ([1, 1, 1, 1], {}, [], {}),
+        ([3, 3, 3, 3], {}, [], {}),
+        # Room for two, then for one, and machines that were lost.
+        ([3, 2, 0, 0], {}, [], {}),
+        ([4, 0, 0, 0], {}, [], {}),
+        ([4, 1, 1, 0], {3: 1}, [], {}),
+        ([4, 1, 1, 0], {}, [3], {}),
+        ([4, 1, 1, 1], {}, [], {"checkpoint_s": 5.0}),
+        ([4, 1, 1, 1], {}, [], {"kind": "group"}),
+    ],
+)
+def test_a_job_whose_tasks_were_lost_is_not_tried_by_one_task(tried, placed, done, fields):
+    cluster = make_cluster()
+    cluster.take_job(JobRecord("open", spec("job-2", 4, **fields), 4), 2)
+    chunk = Chunk(
+        [(index, index) for index in done],
+        {index: Placement(attempt, "n-1", 1) for index, attempt in placed.items()},
+        {index: attempts for index, attempts in enumerate(tried) if attempts},
+    )
+    cluster.load_chunk("job-2", 0, chunk, seconds(100))
+    cluster.loaded()
+    assert waiting(cluster, "job-2", seconds(100)) == 4 - len(placed) - len(done)
+    assert cluster.jobs["job-2"].backoff == seconds(0)
+
+
 def test_only_done_runs_enter_the_history():
     harness = Harness().running()
     harness.now += seconds(3)
