Count a link as up only once its sibling has spoken over it

A connection alone counted as a word for 2 s and was dialled again at once, so a sibling that stood still passed for up nearly all the time with its last word still valid: requests were forwarded to it, reports passed on, workers sent there. One that closed each connection was dialled without a pause. Requests are forwarded to the sibling last heard first, since silence is noticed only after 2 s.

The simulated deployment now runs the real links over a simulated network, and can silence a controller that goes on accepting connections.

Each new test fails with its guard taken out.

--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -404,10 +404,10 @@
         return answers
 
     async def _forward(self, method: str, path: str, body: bytes) -> Answer | None:
-        """A user's request to a sibling that has lately reached the store."""
-        for link in self.links.links:
-            if not self._serving(link):
-                continue
+        """A user's request to a sibling that has lately reached the store. The one last heard comes first:
+        one that has just fallen silent is still up, and would cost each request a second."""
+        serving = [link for link in self.links.links if self._serving(link)]
+        for link in sorted(serving, key=lambda link: link.heard, reverse=True):
             try:
                 answer = await link.ask(lambda number: Forward(number, method, path, body), seconds(1))
             except LinkDown:
--- a/spindleglade/leadership/links.py
+++ b/spindleglade/leadership/links.py
@@ -17,7 +17,7 @@
 from twisted.internet.protocol import Factory
 from twisted.protocols.basic import Int32StringReceiver
 
-from spindleglade.clock import Clock, sleep
+from spindleglade.clock import ZERO, Clock, sleep
 from spindleglade.decoding import decode
 from spindleglade.settings.platform import Sibling, split_address
 from spindleglade.tasks import keep, spawn
@@ -137,6 +137,8 @@
         self._number = 0
         self._waker: Deferred[None] | None = None
         self.sibling = sibling
+        # When the sibling last said something over this connection; None before its first word. That the
+        # connection was made shows nothing: the system accepts it also for a process that stands still.
         self.heard: timedelta | None = None
         self.state: Ping | None = None
         # When the ping was sent that the sibling last answered. What is heard after standing still may have
@@ -151,6 +153,7 @@
 
     @property
     def up(self) -> bool:
+        """Whether the sibling can be asked: it has lately said something over this connection."""
         return self._connection is not None and self._lately(self.heard)
 
     @property
@@ -166,28 +169,43 @@
     async def _run(self) -> None:
         host, port = split_address(self.sibling.address)
         while True:
+            dialled = self._clock.now()
             try:
                 await self._connect(host, port)
             except Exception as error:
-                log.debug("no link sibling=%s reason=%s", self.sibling.name, error)
-                closed, self._closed = self._closed, None
-                if (
-                    isinstance(error, ConnectionRefusedError)
-                    and closed is not None
-                    and self._clock.now() - closed < self._ping * 2
-                ):
-                    self.ended(self.sibling.name)
+                self._not_connected(error)
                 await sleep(self._clock, self._ping)
                 continue
-            self.heard = self._clock.now()
-            self._asked.clear()
-            while self._connection is not None:
-                self._asked.append(self._clock.now())
-                self._connection.send(self._hello(None))
-                await self._pause()
-                if self._connection is not None and not self.up:
-                    self._connection.transport.abortConnection()
-                    self._down()
+            await self._ping_until_down()
+            # A sibling that accepts each connection and closes it at once must not be dialled in a loop.
+            early = dialled + self._ping - self._clock.now()
+            if early > ZERO:
+                await sleep(self._clock, early)
+
+    def _not_connected(self, error: Exception) -> None:
+        log.debug("no link sibling=%s reason=%s", self.sibling.name, error)
+        closed, self._closed = self._closed, None
+        if (
+            isinstance(error, ConnectionRefusedError)
+            and closed is not None
+            and self._clock.now() - closed < self._ping * 2
+        ):
+            self.ended(self.sibling.name)
+
+    async def _ping_until_down(self) -> None:
+        """Pings over a new connection until it is lost, or cut because nothing was heard for a while."""
+        connected = self._clock.now()
+        self.heard = None
+        self._asked.clear()
+        while self._connection is not None:
+            self._asked.append(self._clock.now())
+            self._connection.send(self._hello(None))
+            await self._pause()
+            if self._connection is not None and not self._lately(
+                connected if self.heard is None else self.heard
+            ):
+                self._connection.transport.abortConnection()
+                self._down()
 
     async def _pause(self) -> None:
         """Until the next ping, or until the link is lost."""
@@ -226,10 +244,12 @@
         self._wake()
 
     def _received(self, connection: _Connection, message: Message) -> None:
+        if connection is not self._connection:
+            return
         self.heard = self._clock.now()
         if isinstance(message, Ping):
             self.state = message
-            if connection is not self._connection or not self._asked:
+            if not self._asked:
                 return
             self.shown = self._asked.popleft()
             self.saw(message, self.shown)
--- a/spindleglade/leadership/test_leadership.py
+++ b/spindleglade/leadership/test_leadership.py
@@ -6,10 +6,20 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from twisted.internet.defer import ensureDeferred
 
 from spindleglade.clock import ManualClock, seconds
 from spindleglade.leadership.election import LEADER, Election, LeaderRecord
-from spindleglade.leadership.links import Forward, Forwarded, Link, Ping, Relay, Relayed, decode_message
+from spindleglade.leadership.links import (
+    Forward,
+    Forwarded,
+    Link,
+    LinkDown,
+    Ping,
+    Relay,
+    Relayed,
+    decode_message,
+)
 from spindleglade.settings.platform import Sibling
 from spindleglade.store.client import Committed, Condition, Refused, Unavailable
 from tests.world import World
@@ -269,3 +279,50 @@
     clock.advance(seconds(0.5))
     link._received(Wire(), ping)
     assert link.shown == seconds(1)
+
+
+def silent_link(clock, connected):
+    """A link whose every connection is made, of which `connected` is told; nothing is ever answered."""
+    link = Link(None, clock, Sibling("other", "a", "10.0.0.1:1"), seconds(0.5), lambda turn: "ping")
+
+    async def connect(host, port):
+        link._connection = Wire()
+        connected(link)
+
+    link._connect = connect
+    return link
+
+
+def test_a_connection_over_which_nothing_was_said_is_no_link():
+    """The system accepts connections for a process that stands still. Its last words, minutes old, went on to
+    count: requests were forwarded to it and waited for their timeout, and workers were sent to it."""
+    clock, wires = ManualClock(), []
+    link = silent_link(clock, lambda link: wires.append(link._connection))
+    link.start()
+    link._received(link._connection, Ping("other", 1, True, 0))
+    assert link.up
+    clock.advance(seconds(2.5))
+    for _ in range(70):
+        clock.advance(seconds(1))
+        assert not link.up
+    refused = []
+    asked = ensureDeferred(link.ask(lambda number: Forward(number, "GET", "/ready", b""), seconds(1)))
+    asked.addErrback(lambda failure: refused.append(failure.type))
+    assert refused == [LinkDown]
+    # One connection at a time, given up after four pings.
+    assert 30 <= len(wires) <= 37
+    # It goes on: its first word makes the link.
+    link._received(link._connection, Ping("other", 1, False, 0))
+    assert link.up and not link.state.leads
+
+
+def test_a_sibling_that_closes_each_connection_at_once_is_dialled_once_a_ping():
+    clock, dials = ManualClock(), []
+
+    def close(link):
+        dials.append(clock.now())
+        clock.later(seconds(0.001), link._down)
+
+    silent_link(clock, close).start()
+    clock.advance(seconds(10.1))
+    assert len(dials) == 21
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -214,7 +214,7 @@
     world = World(300 + seed, error=0.1, deployment=Deployment(capacity=8, teams=ROOMY))
     busy(world, 60)
     world.run(seconds(2))
-    world.during(seconds(36), "kept_reports", 0.5)
+    world.during(seconds(36), "kept_reports", 0.6)
     world.during(seconds(36), "late_reports", 0.3)
     for at in (6, 12, 18, 24, 30):
         world.clock.later(
--- /dev/null
+++ b/tests/test_silent_controllers.py
@@ -0,0 +1,72 @@
+"""A controller is silent for more than a minute while users and workers go on: nothing is asked of it without
+bound, the others serve, and its return changes nothing by itself."""
+
+import pytest
+
+from spindleglade.clock import seconds
+from spindleglade.leadership.links import Ping
+from spindleglade.settings.operator import LeadershipSettings
+from spindleglade.tasks import spawn
+from tests.test_meetings import ROOMY, settle
+from tests.world import Deployment, World
+
+SILENT = seconds(70)
+PING = seconds(LeadershipSettings().ping_s)
+# For so long a link passes for up although nothing comes over it any more, with some room.
+NOTICED = seconds(2.5)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("leads", [True, False])
+def test_a_controller_is_silent_for_more_than_a_minute(seed, leads):
+    world = World(300 + seed, deployment=Deployment(capacity=8, teams=ROOMY))
+    world.run(seconds(4))
+    leader = world.leader()
+    silent = leader if leads else (leader + 1) % 3
+    long_ones = [world.submit(number, threads=2, run_s=100.0) for number in range(3)]
+    world.run(seconds(10))
+    began = world.clock.now()
+    world.silence_node(silent, SILENT)
+    for number in range(120):
+        world.clock.later(seconds(number / 2), lambda n=number: world.watch(world.submit(100 + n, threads=2)))
+    world.run(seconds(40))
+    # The others serve: whoever asked early enough has an answer, and its tasks have begun.
+    early = [job for job, at in world.sent.items() if began < at < world.clock.now() - seconds(20)]
+    assert len(early) >= 30 and all(job in world.accepted and job in world.began for job in early)
+    world.run(SILENT - seconds(40) - seconds(1))
+    # Once its silence is noticed it gets nothing but the pings of one connection after the other.
+    workers = sum(not worker.gone for worker in world.workers.values())
+    for (sender, kind), times in world.sent_to_silent.items():
+        late = [at for at in times if at > began + NOTICED]
+        assert len(late) <= (SILENT / PING if kind is Ping else 0), (sender, kind, late)
+        # Until then a node passes reports on as they come, and each worker has one under way.
+        assert len(times) - len(late) <= workers * NOTICED.total_seconds() * 2
+    terms = {name: node.leader.term for name, node in world.nodes.items() if node.leads}
+    others = {name: term for name, term in terms.items() if name != world.node_names[silent]}
+    assert len(others) == 1
+    world.run(seconds(10))
+    # Its return changes nothing by itself: the same one leads in the same term.
+    assert {name: node.leader.term for name, node in world.nodes.items() if node.leads} == others
+    settle(world, 120.0)
+    assert all(world.told[job] == "done" for job in long_ones)
+
+
+def test_a_request_is_forwarded_to_the_sibling_last_heard_first():
+    """One that has just fallen silent passes for up for two seconds more; each request that was forwarded to
+    it waited for a second before the next one was asked."""
+    world = World(310)
+    world.run(seconds(4))
+    asker = world.nodes[world.node_names[(world.leader() + 1) % 3]]
+    silent = asker.links.links[0].sibling.name
+    world.refused.add(asker._platform.name)
+    world.silence_node(world.node_names.index(silent), seconds(10))
+    world.run(seconds(0.8))
+    assert asker.links.links[0].up
+    answers = []
+
+    async def ask():
+        answers.append(await asker.handle("GET", "/submissions/job-000001", b""))
+
+    spawn(ask(), "asking")
+    world.run(seconds(0.2))
+    assert [answer.status for answer in answers] == [404]
--- a/tests/world.py
+++ b/tests/world.py
@@ -3,20 +3,20 @@
 
 import logging
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 import msgspec
 from twisted.internet.defer import Deferred
 
 from spindleglade.app import Node
-from spindleglade.clock import ManualClock, seconds
-from spindleglade.leadership.links import Forward, Forwarded, LinkDown, Ping, Relay, Relayed
+from spindleglade.clock import ManualClock, seconds, sleep
+from spindleglade.leadership.links import Link, Links, Message
 from spindleglade.settings import OperatorSettings, Platform
-from spindleglade.settings.platform import Sibling
 from spindleglade.sockets import Sockets
 from spindleglade.tasks import spawn
 from spindleglade.web import NoAnswer, NotSent, Response, Turns
@@ -215,80 +215,64 @@
         """Nothing is kept here."""
 
 
-class SimLink:
-    def __init__(self, world: "World", own: str, other: str) -> None:
-        self._world, self._own, self.other = world, own, other
-        self.state: Ping | None = None
-        self.sibling = Sibling(other, "a", "10.0.0.0:2")
-        # When the sibling was last heard, by this node's clock, which goes on while the node stands still.
-        self.heard: timedelta | None = None
-        self.shown: timedelta | None = None
-
-    @property
-    def linked(self) -> bool:
-        return self.other in self._world.nodes and not self._world.is_cut(self._own, self.other)
-
-    @property
-    def up(self) -> bool:
-        return self.linked and self._lately(self.heard)
-
-    @property
-    def shown_lately(self) -> bool:
-        return self._lately(self.shown)
-
-    def _lately(self, at: timedelta | None) -> bool:
-        return at is not None and self._world.lives[self._own].now() - at < seconds(2)
-
-    async def ask(self, make: Any, timeout: timedelta) -> Any:
-        if not self.up:
-            raise LinkDown(self.other)
-        node, message = self._world.nodes[self.other], make(0)
-        waiter: Deferred[Any] = Deferred()
-        life = self._world.lives[self._own]
-
-        async def serve() -> None:
-            if isinstance(message, Relay):
-                answer: Any = Relayed(0, node._relayed(message.reports))
-            else:
-                assert isinstance(message, Forward)
-                got = await node._forwarded(message.method, message.path, message.body)
-                answer = Forwarded(0, got.status, got.retry_after, got.body)
-            if self.up and life.alive and not waiter.called:
-                waiter.callback(answer)
+class SimConnection:
+    """One end of a connection between two controllers. What is sent arrives in its order, once the network
+    lets it through; an end that was given up takes nothing in any more."""
 
-        def late() -> None:
-            if not waiter.called:
-                waiter.errback(LinkDown(self.other))
+    def __init__(self, world: "World", own: str, other: str, received: Any) -> None:
+        self._world, self._own, self._other = world, own, other
+        self._received = received
+        self._lives = [world.lives[own], world.lives[other]]
+        self.peer: SimConnection | None = None
+        self.transport = self
+        # Told when the other process ends.
+        self.lost: Callable[[], None] = lambda: None
+
+    def send(self, message: Message) -> None:
+        world = self._world
+        if self._other in world.silent:
+            world.sent_to_silent[self._own, type(message)].append(world.clock.now())
+        world.pass_to_sibling(self._own, self._other, lambda: self._arrive(message))
+
+    def _arrive(self, message: Message) -> None:
+        if self.peer is not None and all(life.alive for life in self._lives):
+            self.peer._received(self.peer, message)
+
+    def abortConnection(self) -> None:
+        self._world.connections_of_siblings.pop(self, None)
 
-        life.later(timeout, late)
-        self._world.lives[self.other].later(seconds(0.002), lambda: spawn(serve(), "sibling"))
-        return await waiter
+    def end_with(self, life: LifeClock) -> None:
+        if life in self._lives:
+            self.abortConnection()
+            self.lost()
 
 
-class SimLinks:
-    def __init__(self, world: "World", own: str, hello: Any, saw: Any) -> None:
-        self._world, self._own, self._hello, self._saw = world, own, hello, saw
-        self.links = [SimLink(world, own, name) for name in world.node_names if name != own]
+def connect_links(world: "World", own: str, links: Links) -> Links:
+    """Puts a controller's links on the simulated network."""
+    for link in links.links:
+        link._connect = partial(_connect, world, own, link)
+    return links
 
-    def start(self) -> None:
-        self._ping()
 
-    def _ping(self) -> None:
-        for link in self.links:
-            if link.linked:
-                turn = self._world.nodes[self._own].replica.turn
-                state = self._world.nodes[link.other]._hello(turn)
-                life = self._world.lives[self._own]
-                life.later(seconds(0.005), self._hear, link, state, life.now())
-        self._world.lives[self._own].later(seconds(0.5), self._ping)
+async def _connect(world: "World", own: str, link: Link, host: str, port: int) -> None:
+    other, life = link.sibling.name, world.lives[own]
+    if other not in world.nodes:
+        raise ConnectionRefusedError
+    if world.is_cut(own, other) and other not in world.silent:
+        await sleep(life, seconds(1))
+        raise TimeoutError
+    near = SimConnection(world, own, other, link._received)
+    far = SimConnection(world, other, own, world.nodes[other].links._asked)
+    near.peer, far.peer = far, near
 
-    def _hear(self, link: SimLink, state: Ping, asked: timedelta) -> None:
-        if link.linked:
-            link.heard, link.state, link.shown = self._world.lives[self._own].now(), state, asked
-            self._saw(state, asked)
+    def lost() -> None:
+        if link._connection is near:
+            link._closed = life.now()
+            link._down()
 
-    def to(self, node: str) -> SimLink | None:
-        return next((link for link in self.links if link.other == node and link.up), None)
+    near.lost = lost
+    world.connections_of_siblings[near] = None
+    link._connection = near
 
 
 class World:
@@ -327,6 +311,11 @@
         # Cut pairs, and the packets held back between them (None: thrown away).
         self.cuts: dict[frozenset[str], list | None] = {}
         self.refused: set[str] = set()
+        # Controllers that accept connections and say nothing; and when which sibling sent one of them what.
+        self.silent: set[str] = set()
+        self.sent_to_silent: defaultdict[tuple[str, type], list[timedelta]] = defaultdict(list)
+        # The dialled ends, in the order in which they were made.
+        self.connections_of_siblings: dict[SimConnection, None] = {}
         self.lose = 0.0
         # Machines whose reports arrive, but which no answer and no order reaches.
         self.not_receiving: set[str] = set()
@@ -389,8 +378,13 @@
         life = LifeClock(self.clock)
         self.lives[name] = life
 
-        def connect(hello: Any, relay: Any, forward: Any, saw: Any, ended: Any) -> SimLinks:
-            return SimLinks(self, name, hello, saw)
+        siblings = platform(index, self.at).siblings
+        ping = seconds(self.settings.leadership.ping_s)
+
+        def connect(hello: Any, relay: Any, forward: Any, saw: Any, ended: Any) -> Links:
+            # Nobody is told of ended processes: successors wait for the lease, which is harder.
+            links = Links(None, life, siblings, ping, hello, relay, forward, saw, lambda name: None)
+            return connect_links(self, name, links)
 
         async def compute(work: Any, *args: Any) -> Any:
             waiter: Deferred[None] = Deferred()
@@ -415,8 +409,11 @@
     def kill_node(self, index: int) -> None:
         name = self.node_names[index]
         if name in self.nodes:
-            self.lives[name].alive = False
+            life = self.lives[name]
+            life.alive = False
             del self.nodes[name]
+            for connection in list(self.connections_of_siblings):
+                connection.end_with(life)
 
     def freeze_node(self, index: int, length: timedelta) -> None:
         """It stands still; what is sent to it waits."""
@@ -425,6 +422,13 @@
             self.lives[name].frozen = self.clock.now() + length
             self.cut_off(name, True, length)
 
+    def silence_node(self, index: int, length: timedelta) -> None:
+        """It says nothing more, and nothing that is sent to it arrives, though connections to it are made."""
+        name = self.node_names[index]
+        self.silent.add(name)
+        self.clock.later(length, self.silent.discard, name)
+        self.cut_off(name, False, length)
+
     # Troubles. What each does is in place at once and ends by itself.
 
     def trouble(self, length: timedelta) -> None:
@@ -702,6 +706,14 @@
         way = self.rng.uniform(0.001, 0.01) + self.slow_links.total_seconds() * self.rng.random()
         self.clock.later(seconds(way), deliver)
 
+    def pass_to_sibling(self, source: str, target: str, deliver: Any) -> None:
+        """Nothing is lost between siblings but by a cut; each link's messages keep their order."""
+        pair = frozenset((source, target))
+        if pair not in self.cuts:
+            self.clock.later(seconds(0.002), deliver)
+        elif (held := self.cuts[pair]) is not None:
+            held.append(deliver)
+
     def _serve(
         self, source: str, target: str, method: str, path: str, body: bytes
     ) -> Reply | Deferred | None:
