--- /dev/null
+++ b/tests/sibling_links.py
@@ -0,0 +1,73 @@
+"""The real links between controllers, over the network of a simulated deployment."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+from spindleglade.clock import seconds, sleep
+from spindleglade.leadership.links import Link, Links, Message
+from tests.processes import LifeClock
+
+if TYPE_CHECKING:
+    from tests.world import World
+
+
+class SimConnection:
+    """One end of a connection between two controllers. What is sent arrives in its order, once the network
+    lets it through; an end that was given up takes nothing in any more."""
+
+    def __init__(self, world: "World", own: str, other: str, received: Any) -> None:
+        self._world, self._own, self._other = world, own, other
+        self._received = received
+        self._lives = [world.lives[own], world.lives[other]]
+        self.peer: SimConnection | None = None
+        self.transport = self
+        # Told when the other process ends.
+        self.lost: Callable[[], None] = lambda: None
+
+    def send(self, message: Message) -> None:
+        world = self._world
+        if self._other in world.silent:
+            world.sent_to_silent[self._own, type(message)].append(world.clock.now())
+        received = world.as_sent(message)
+        world.pass_to_sibling(self._own, self._other, lambda: self._arrive(received))
+
+    def _arrive(self, message: Message) -> None:
+        if self.peer is not None and all(life.alive for life in self._lives):
+            self.peer._received(self.peer, message)
+
+    def abortConnection(self) -> None:
+        self._world.connections_of_siblings.pop(self, None)
+
+    def end_with(self, life: LifeClock) -> None:
+        if life in self._lives:
+            self.abortConnection()
+            self.lost()
+
+
+def connect_links(world: "World", own: str, links: Links) -> Links:
+    """Puts a controller's links on the simulated network."""
+    for link in links.links:
+        link._connect = partial(_connect, world, own, link)
+    return links
+
+
+async def _connect(world: "World", own: str, link: Link, host: str, port: int) -> None:
+    other, life = link.sibling.name, world.lives[own]
+    if other not in world.nodes:
+        raise ConnectionRefusedError
+    if world.is_cut(own, other) and other not in world.silent:
+        await sleep(life, seconds(1))
+        raise TimeoutError
+    near = SimConnection(world, own, other, link._received)
+    far = SimConnection(world, other, own, world.nodes[other].links._asked)
+    near.peer, far.peer = far, near
+
+    def lost() -> None:
+        if link._connection is near:
+            link._closed = life.now()
+            link._down()
+
+    near.lost = lost
+    world.connections_of_siblings[near] = None
+    link._connection = near
--- a/tests/world.py
+++ b/tests/world.py
@@ -3,7 +3,7 @@
 
 import logging
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -13,14 +13,15 @@
 
 from spindleglade.app import Node
 from spindleglade.clock import ManualClock, seconds
-from spindleglade.leadership.links import Message, decode_message
+from spindleglade.leadership.links import Links, Message, decode_message
 from spindleglade.settings import OperatorSettings
 from spindleglade.sockets import Sockets
 from spindleglade.tasks import spawn
 from spindleglade.web import Turns
 from tests.deployment import CANCEL, TYPES, Deployment, description, platform, size
-from tests.processes import Errors, LifeClock, SimHttp, SimLinks
+from tests.processes import Errors, LifeClock, SimHttp
 from tests.rules import OVER, DependencyRules
+from tests.sibling_links import SimConnection, connect_links
 from tests.standins import Cloud, Machine, Reply, StateService, Worker, decode, encode
 
 # What the users allow once all troubles are over: no answer about a job, and waiting while there is room.
@@ -69,6 +70,11 @@
         # Cut pairs, and the packets held back between them (None: thrown away).
         self.cuts: dict[frozenset[str], list | None] = {}
         self.refused: set[str] = set()
+        # Controllers that accept connections and say nothing; and when which sibling sent one of them what.
+        self.silent: set[str] = set()
+        self.sent_to_silent: defaultdict[tuple[str, type], list[timedelta]] = defaultdict(list)
+        # The dialled ends, in the order in which they were made.
+        self.connections_of_siblings: dict[SimConnection, None] = {}
         self.lose = 0.0
         # Machines whose reports arrive, but which no answer and no order reaches.
         self.not_receiving: set[str] = set()
@@ -140,8 +146,13 @@
         life = LifeClock(self.clock)
         self.lives[name] = life
 
-        def connect(hello: Any, relay: Any, forward: Any, saw: Any, ended: Any) -> SimLinks:
-            return SimLinks(self, name, hello, saw)
+        siblings = platform(index, self.at).siblings
+        ping = seconds(self.settings.leadership.ping_s)
+
+        def connect(hello: Any, relay: Any, forward: Any, saw: Any, ended: Any) -> Links:
+            # Nobody is told of ended processes: successors wait for the lease, which is harder.
+            links = Links(None, life, siblings, ping, hello, relay, forward, saw, lambda name: None)
+            return connect_links(self, name, links)
 
         async def compute(work: Any, *args: Any) -> Any:
             waiter: Deferred[None] = Deferred()
@@ -166,8 +177,11 @@
     def kill_node(self, index: int) -> None:
         name = self.node_names[index]
         if name in self.nodes:
-            self.lives[name].alive = False
+            life = self.lives[name]
+            life.alive = False
             del self.nodes[name]
+            for connection in list(self.connections_of_siblings):
+                connection.end_with(life)
 
     def freeze_node(self, index: int, length: timedelta) -> None:
         """It stands still; what is sent to it waits."""
@@ -176,6 +190,13 @@
             self.lives[name].frozen = self.clock.now() + length
             self.cut_off(name, True, length)
 
+    def silence_node(self, index: int, length: timedelta) -> None:
+        """It says nothing more, and nothing that is sent to it arrives, though connections to it are made."""
+        name = self.node_names[index]
+        self.silent.add(name)
+        self.clock.later(length, self.silent.discard, name)
+        self.cut_off(name, False, length)
+
     # Troubles. What each does is in place at once and ends by itself.
 
     def trouble(self, length: timedelta) -> None:
@@ -457,6 +478,14 @@
         way = self.rng.uniform(0.001, 0.01) + self.slow_links.total_seconds() * self.rng.random()
         self.clock.later(seconds(way), deliver)
 
+    def pass_to_sibling(self, source: str, target: str, deliver: Any) -> None:
+        """Nothing is lost between siblings but by a cut; each link's messages keep their order."""
+        pair = frozenset((source, target))
+        if pair not in self.cuts:
+            self.clock.later(seconds(0.002), deliver)
+        elif (held := self.cuts[pair]) is not None:
+            held.append(deliver)
+
     def _serve(
         self, source: str, target: str, method: str, path: str, body: bytes
     ) -> Reply | Deferred | None:
