--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -3,10 +3,13 @@
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from spindleglade.clock import seconds
 from spindleglade.tasks import spawn
 from tests.deployment import CANCEL, Deployment
+from tests.faults import FAULTS, do
 from tests.pipelines import Pipelines, chain, diamond, fan_in, fan_out
 from tests.recorded_day import answers_everywhere
 from tests.rules import OVER
@@ -237,6 +240,20 @@
     pipelines.settle()
 
 
+@settings(max_examples=25)
+@given(st.integers(0, 1 << 30), FAULTS, st.sampled_from([0.0, 0.05]), st.sampled_from([0.0, 0.15, 0.4]))
+def test_no_rule_of_pipelines_is_broken_whatever_fails(seed, faults, error, cancelled):
+    world = World(seed, deployment=ROOMY, error=error)
+    pipelines = Pipelines(world)
+    pipelines.cancel_some(cancelled, seconds(6))
+    pipelines.stream(8, seconds(2.2))
+    for kind, at, length, hold, pick in faults:
+        world.clock.later(seconds(at), do, world, kind, length, hold, pick)
+    # The latest trouble has begun by then; what they leave behind is told by the world.
+    world.run(seconds(24))
+    pipelines.settle(seconds(150))
+
+
 # Restarts.
 
 
