--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -25,7 +25,8 @@
 from spindleglade.store.client import Condition, Put, StateClient, Unavailable, Unknown, raw
 from spindleglade.store.replica import Replica
 from spindleglade.submissions.api import UserApi
-from spindleglade.submissions.records import JOBS, PREFIX, VOUCHED, JobRecord, JobViews, job_key
+from spindleglade.submissions.records import JOBS, PREFIX, VOUCHED, JobRecord, job_key
+from spindleglade.submissions.views import JobViews
 from spindleglade.tasks import keep
 from spindleglade.web import Answer, HttpClient, Requester, Turns, site
 from spindleglade.workers.api import WorkerApi
--- a/spindleglade/submissions/api.py
+++ b/spindleglade/submissions/api.py
@@ -24,7 +24,8 @@
     decode_submission,
     named_job,
 )
-from spindleglade.submissions.records import JobRecord, JobView, JobViews, chunk_size, job_key
+from spindleglade.submissions.records import JobRecord, chunk_size, job_key
+from spindleglade.submissions.views import JobView, JobViews
 from spindleglade.web import BODY_LIMIT, Answer, encode_json
 
 log = logging.getLogger("spindleglade.submissions")
--- a/spindleglade/submissions/test_submissions.py
+++ b/spindleglade/submissions/test_submissions.py
@@ -23,7 +23,6 @@
 from spindleglade.submissions.records import (
     Chunk,
     JobRecord,
-    JobViews,
     Placement,
     chunk_key,
     chunk_size,
@@ -31,6 +30,7 @@
     runs,
     split_chunk_key,
 )
+from spindleglade.submissions.views import JobViews
 from spindleglade.tasks import spawn
 
 GOOD = {
--- a/spindleglade/workers/api.py
+++ b/spindleglade/workers/api.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from spindleglade.clock import Clock
-from spindleglade.submissions.records import JobViews
+from spindleglade.submissions.views import JobViews
 from spindleglade.web import Answer
 from spindleglade.workers.balancer import ReportBalancer, Solitude
 from spindleglade.workers.cancellation_bound import CancellationBound
--- a/spindleglade/workers/test_reports.py
+++ b/spindleglade/workers/test_reports.py
@@ -10,7 +10,8 @@
 
 from spindleglade.clock import ManualClock, seconds
 from spindleglade.store.client import raw
-from spindleglade.submissions.records import Chunk, JobRecord, JobViews, Placement, chunk_key, job_key
+from spindleglade.submissions.records import Chunk, JobRecord, Placement, chunk_key, job_key
+from spindleglade.submissions.views import JobViews
 from spindleglade.workers.api import WorkerApi
 from spindleglade.workers.balancer import Load, ReportBalancer, Solitude
 from spindleglade.workers.cancellation_bound import CancellationBound
