--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -135,7 +135,7 @@
             PREFIX,
             seconds(settings.store.watch_s),
             seconds(settings.store.confirm_s),
-            self.client.pace,
+            lambda: self.client.pace,
         )
         self.views = JobViews()
         self.replica.listen(self.views.listener)
--- a/spindleglade/leader.py
+++ b/spindleglade/leader.py
@@ -293,7 +293,7 @@
         with self.cluster.lock:
             teams, self.cluster.learned = self.cluster.learned, set()
             writes = [Put(HISTORY + team, raw(self.predictor.export(team))) for team in sorted(teams)]
-        most = self._client.limits.txn_ops
+        most = self._client.limits.operations
         for at in range(0, len(writes), most):
             part = writes[at : at + most]
             # A transaction without an answer may be carried out after newer ones of this same term.
--- a/spindleglade/leadership/election.py
+++ b/spindleglade/leadership/election.py
@@ -19,6 +19,7 @@
     LeaseGone,
     Put,
     StateClient,
+    TooManyRequests,
     Unavailable,
     Unknown,
     raw,
@@ -29,6 +30,11 @@
 
 log = logging.getLogger("spindleglade.leadership")
 
+# Shares of the lease after which it is renewed, and after which a renewal that failed is tried again. Where
+# the service refuses for the rate, two refusals in a row are common; sixteen are not.
+RENEW_SHARE = 1 / 4
+RETRY_SHARE = 1 / 16
+
 LEADER = PREFIX + "leader"
 TOKEN = PREFIX + "token"
 
@@ -131,8 +137,8 @@
     async def _run(self) -> None:
         while True:
             if self.term is not None:
-                await self._renew(self.term)
-                await sleep(self._clock, self._lease / 4)
+                renewed = await self._renew(self.term)
+                await sleep(self._clock, self._lease * (RENEW_SHARE if renewed else RETRY_SHARE))
             else:
                 await self._campaign()
                 if self.term is None:
@@ -140,7 +146,8 @@
                     # come back may be the only one.
                     await sleep(self._clock, self._lease / (6 if self._replica.loaded else 60))
 
-    async def _renew(self, term: Term) -> None:
+    async def _renew(self, term: Term) -> bool:
+        """Whether nothing is to be tried again soon."""
         try:
             await self._client.touch(term.lease)
         except LeaseGone:
@@ -150,6 +157,11 @@
             # Not a reason to step down: in an outage of the store nobody else can lead either, and where
             # only this node is refused its writes fail by their condition.
             log.info("lease not renewed reason=%s", error)
+            if isinstance(error, TooManyRequests):
+                # Everything else of this node yields until the next try has had its turn.
+                self._client.hold_back(self._lease * RETRY_SHARE * 2)
+            return False
+        return True
 
     def suspect(self, node: str) -> None:
         """The node's process seems to have ended. If it leads, its key is taken over without waiting for the
--- a/spindleglade/leadership/test_leadership.py
+++ b/spindleglade/leadership/test_leadership.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies as st
 
 from spindleglade.clock import ManualClock, seconds
-from spindleglade.leadership.election import LEADER, Election, LeaderRecord
+from spindleglade.leadership.election import LEADER, RETRY_SHARE, Election, LeaderRecord
 from spindleglade.leadership.links import Forward, Forwarded, Link, Ping, Relay, Relayed, decode_message
 from spindleglade.settings.platform import Sibling
-from spindleglade.store.client import Committed, Condition, Refused, Unavailable
+from spindleglade.store.client import Committed, Condition, Refused, TooManyRequests, Unavailable
 from tests.world import World
 
 numbers = st.integers(0, (1 << 63) - 1)
@@ -226,6 +226,47 @@
     assert world.told[job] == "done"
 
 
+def test_a_renewal_refused_for_the_rate_is_tried_again_before_the_lease_ends():
+    """Renewed each quarter of the lease, it ended after four refusals; other requests made them likely."""
+
+    class Replica:
+        loaded, marks = True, {}
+
+        def listen(self, listener):
+            pass
+
+        async def confirm(self):
+            pass
+
+    class Store:
+        renewed, refused, held = seconds(0), 0, []
+
+        async def grant(self, ttl):
+            return 5
+
+        async def txn(self, when, writes, urgent=False):
+            return Committed(9)
+
+        async def touch(self, lease):
+            assert clock.now() - self.renewed < seconds(4)
+            if self.refused:
+                self.refused -= 1
+                raise TooManyRequests("429")
+            self.renewed, self.refused = clock.now(), 8
+
+        def hold_back(self, length):
+            self.held.append(length)
+
+    store, clock = Store(), ManualClock()
+    election = Election("me", store, Replica(), clock, seconds(4), lambda term: None, None)
+    election.start()
+    for _ in range(20):
+        clock.advance(seconds(1))
+    assert election.term is not None and clock.now() - store.renewed < seconds(4)
+    # Other requests yield past the next try.
+    assert store.held and min(store.held) > seconds(4 * RETRY_SHARE)
+
+
 class Wire:
     """A connection that takes what is sent and says nothing."""
 
--- a/spindleglade/settings/platform.py
+++ b/spindleglade/settings/platform.py
@@ -4,7 +4,7 @@
 import re
 from datetime import timedelta
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -67,16 +67,65 @@
         return timedelta(seconds=self.cancel_s)
 
 
+# Changes in one transaction: an election needs two, and the recorder keeps one free.
+Operations = Annotated[int, msgspec.Meta(ge=3)]
+# Share of a value that new ones use: they stay well within what the service takes.
+VALUE_SHARE = 0.9
+
+
+class NextStateLimits(msgspec.Struct, frozen=True):
+    """Limits that the state service will have from some moment that is not announced; None: unchanged."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Operations | None = None
+
+
+Limit = TypeVar("Limit", int, float)
+
+
+def _smaller(now: Limit, later: Limit | None) -> Limit:
+    return now if later is None else min(now, later)
+
+
 class StateLimits(msgspec.Struct, frozen=True):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
-    txn_ops: Annotated[int, msgspec.Meta(ge=3)]
+    txn_ops: Operations
+    next: NextStateLimits | None = None
+
+    @property
+    def lowest(self) -> "StateLimits":
+        """The smaller of each limit and the one announced to follow it."""
+        later = self.next or NextStateLimits()
+        return StateLimits(
+            _smaller(self.rps, later.rps),
+            _smaller(self.write_rps, later.write_rps),
+            _smaller(self.value_kb, later.value_kb),
+            _smaller(self.txn_ops, later.txn_ops),
+        )
 
     @property
     def value_bytes(self) -> int:
-        """What may be put into a value: it stays well within what the service takes."""
-        return int(self.value_kb * 1024 * 0.9)
+        """What may be put into a new value, under this limit and the next."""
+        return int(self.lowest.value_kb * 1024 * VALUE_SHARE)
+
+    @property
+    def largest_new_value(self) -> int:
+        """The size up to which a new value that nobody can make smaller is tried at all."""
+        return int(self.lowest.value_kb * 1024)
+
+    @property
+    def largest_value(self) -> int:
+        """The size up to which a value is written that was sized before the limits were announced to fall."""
+        return int(self.value_kb * 1024)
+
+    @property
+    def operations(self) -> int:
+        """Changes in one transaction, under this limit and the next."""
+        return self.lowest.txn_ops
 
 
 class CloudLimits(msgspec.Struct, frozen=True):
--- a/spindleglade/settings/test_settings.py
+++ b/spindleglade/settings/test_settings.py
@@ -92,6 +92,42 @@
     assert loaded.params.machine_limits.sockets == 64
 
 
+NEXT = ("params", "state", "next")
+
+
+@pytest.mark.parametrize("field", ["rps", "write_rps", "value_kb", "txn_ops"])
+@pytest.mark.parametrize("value", [True, -1, 0, [], {}, "", 1e300])
+def test_a_bad_limit_to_come_names_its_field(tmp_path, capsys, field, value):
+    bad = write(tmp_path, changed(NEXT, {field: value}))
+    assert main(["check", "--config", bad]) == 2
+    shown = capsys.readouterr().err
+    assert shown.count("\n") == 1 and "platform.json" in shown and f"params.state.next.{field}" in shown
+
+
+@pytest.mark.parametrize("value", [True, 3, [], "", {"txn_ops": 2}, {"txn_ops": 4.5}])
+def test_limits_to_come_that_are_none_are_refused(tmp_path, value):
+    with pytest.raises(SettingsError, match="params.state.next"):
+        load_platform(write(tmp_path, changed(NEXT, value)))
+
+
+@pytest.mark.parametrize(
+    "later", [None, {}, {"value_kb": None}, {"txn_ops": 20, "value_kb": 32, "rps": 1e3, "more": 1}]
+)
+def test_without_smaller_limits_to_come_nothing_changes(tmp_path, later):
+    plain = load_platform(write(tmp_path, GOOD)).params.state
+    limits = load_platform(write(tmp_path, changed(NEXT, later))).params.state
+    assert limits.lowest == plain and limits.operations == 12 and limits.value_bytes == int(16 * 1024 * 0.9)
+    assert limits.largest_value == limits.largest_new_value == 16 * 1024
+
+
+def test_the_smaller_of_both_limits_is_used(tmp_path):
+    later = {"value_kb": 2.0, "txn_ops": 4, "write_rps": 28}
+    limits = load_platform(write(tmp_path, changed(NEXT, later))).params.state
+    assert (limits.lowest.rps, limits.lowest.write_rps, limits.operations) == (100.0, 28.0, 4)
+    assert limits.value_bytes == int(2 * 1024 * 0.9) and limits.largest_new_value == 2048
+    assert limits.largest_value == 16 * 1024
+
+
 @pytest.mark.parametrize("path", PATHS)
 def test_a_missing_field_is_named(tmp_path, path):
     with pytest.raises(SettingsError, match=path[-1]):
--- a/spindleglade/store/budget.py
+++ b/spindleglade/store/budget.py
@@ -23,6 +23,12 @@
         self._level = min(self._burst, self._level + (now - self._at).total_seconds() * self._rate)
         self._at = now
 
+    def change(self, rate: float, burst: float) -> None:
+        """Another rate from now on; what was saved up beyond the new burst is lost."""
+        self._refill()
+        self._rate, self._burst = rate, burst
+        self._level = min(self._level, burst)
+
     @property
     def spare(self) -> float:
         """What may be spent now without reaching into the half kept for what others wait for."""
--- a/spindleglade/store/replica.py
+++ b/spindleglade/store/replica.py
@@ -35,7 +35,7 @@
         prefix: str,
         wait: timedelta,
         every: timedelta,
-        pace: timedelta = timedelta(0),
+        pace: Callable[[], timedelta] = lambda: timedelta(0),
     ) -> None:
         self._client = client
         self._clock = clock
@@ -71,8 +71,8 @@
                     await self._load()
                 turn, changes = await self._client.watch(self._prefix, self.turn, self._wait)
                 self.apply(turn, changes)
-                if self._pace:
-                    await sleep(self._clock, self._pace)
+                if self._pace():
+                    await sleep(self._clock, self._pace())
             except TooOld:
                 self.loaded = False
             except (Unavailable, Unknown) as error:
@@ -82,6 +82,11 @@
     async def _load(self) -> None:
         asked = self._clock.now()
         listing = await self._client.read_all(self._prefix)
+        turn, changes = listing.turn, []
+        if listing.pages > 1:
+            # Read at different moments: of a value that was split meanwhile, the first page may lack the
+            # parts and a later one what they were taken from. Nothing is taken in before both are there.
+            turn, changes = await self._client.watch(self._prefix, listing.turn, timedelta(0))
         present = {entry.key for entry in listing.entries}
         for entry in listing.entries:
             # A catch-up may have overtaken the listing. What it shows from before the copy's own revision is
@@ -92,6 +97,7 @@
         for key in gone:
             self._take(key, None, listing.turn)
         self.turn = max(self.turn, listing.turn)
+        self.apply(turn, changes)
         self.loaded = True
         self._proven(asked)
         log.info("replica loaded keys=%d turn=%d", len(present), self.turn)
@@ -148,8 +154,8 @@
     async def _catch_up(self) -> None:
         self._catching = True
         while self._next:
-            if self._pace and self._asked is not None:
-                early = self._asked + self._pace - self._clock.now()
+            if self._pace() and self._asked is not None:
+                early = self._asked + self._pace() - self._clock.now()
                 if early > timedelta(0):
                     await sleep(self._clock, early)
             served, self._next = self._next, []
--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -58,7 +58,7 @@
         self._stopped = False
         self._idle: Deferred[None] | None = None
         # Conditions cost too: four times the changes are allowed, one is the leader key, two a chunk.
-        self._most = max(1, client.limits.txn_ops - 1)
+        self._most = max(1, client.limits.operations - 1)
 
     def start(self) -> None:
         spawn(self._run(), "recorder")
