--- a/spindleglade/leader.py
+++ b/spindleglade/leader.py
@@ -31,12 +31,15 @@
 from spindleglade.submissions.records import (
     HISTORY,
     JOBS,
+    PARTS,
     PREFIX,
     TASKS,
     Chunk,
     JobRecord,
     chunk_key,
+    part_key,
     split_chunk_key,
+    split_part_key,
 )
 from spindleglade.tasks import spawn
 from spindleglade.web import Turns
@@ -195,6 +198,7 @@
         marks: dict[str, int] = {}
         records: list[tuple[JobRecord, int]] = []
         chunks: list[tuple[str, int, Chunk]] = []
+        parts: list[tuple[str, int, Chunk]] = []
         for entry in entries:
             try:
                 if entry.key.startswith(JOBS):
@@ -203,6 +207,10 @@
                     job, number = split_chunk_key(entry.key)
                     chunks.append((job, number, msgspec.json.decode(entry.value, type=Chunk)))
                     marks[entry.key] = entry.mark
+                elif entry.key.startswith(PARTS):
+                    job, first = split_part_key(entry.key)
+                    parts.append((job, first, msgspec.json.decode(entry.value, type=Chunk)))
+                    marks[entry.key] = entry.mark
                 elif entry.key.startswith(HISTORY):
                     self._history_marks[entry.key] = entry.mark
                     team = entry.key[len(HISTORY) :]
@@ -213,11 +221,20 @@
                     self._unreadable.add(entry.key.split("/")[2])
         for record, mark in records:
             self._take(cluster, record, mark)
+        # The parts say how far each value is to be believed, so all are known before any is taken in.
+        for job, first, _ in parts:
+            if job not in self._unreadable:
+                cluster.learn_part(job, first)
         for job, number, chunk in chunks:
             if job in self._unreadable:
                 marks.pop(chunk_key(job, number), None)
             else:
                 cluster.load_chunk(job, number, chunk, now)
+        for job, first, chunk in parts:
+            if job in self._unreadable:
+                marks.pop(part_key(job, first), None)
+            else:
+                cluster.load_part(job, first, chunk, now)
         return marks
 
     def job_changed(self, record: JobRecord, mark: int) -> None:
--- a/spindleglade/submissions/records.py
+++ b/spindleglade/submissions/records.py
@@ -1,7 +1,9 @@
 """The job record and the task chunks, as they are kept in the state service.
 
 A job is one key; its `stage` there is the last word: `open`, `aborted` or `done`. The states of its tasks lie
-in chunks, one key each, written by the leader only. A task that no chunk speaks of has never been tried.
+in chunks, one key each, written by the leader only. A task that no chunk speaks of has never been tried. A
+chunk that has become too large for a value is split: parts, which the version before ignores, take over its
+tasks from their first one on (see `pieces`).
 """
 
 from datetime import datetime
@@ -14,6 +16,7 @@
 PREFIX = "sg/"
 JOBS = PREFIX + "job/"
 TASKS = PREFIX + "task/"
+PARTS = PREFIX + "part/"
 TYPES = PREFIX + "types"
 HISTORY = PREFIX + "history/"
 VOUCHED = PREFIX + "vouched/"
@@ -44,6 +47,15 @@
     # Highest attempt given so far, for tasks that wait for another.
     tried: dict[int, int] = {}
 
+    def clipped(self, start: int, end: int) -> "Chunk":
+        """What it says of the tasks from one to another; the rest is stale."""
+        done = [(max(first, start), min(last, end - 1)) for first, last in self.done]
+        return Chunk(
+            [(first, last) for first, last in done if first <= last],
+            {index: placement for index, placement in self.placed.items() if start <= index < end},
+            {index: attempt for index, attempt in self.tried.items() if start <= index < end},
+        )
+
     def count_done(self) -> int:
         return sum(last - first + 1 for first, last in self.done)
 
@@ -61,6 +73,16 @@
     return job, int(chunk)
 
 
+def part_key(job: str, first: int) -> str:
+    return f"{PARTS}{job}/{first:06d}"
+
+
+def split_part_key(key: str) -> tuple[str, int]:
+    """The job, and the first task that the part speaks for."""
+    job, _, first = key[len(PARTS) :].rpartition("/")
+    return job, int(first)
+
+
 def chunk_size(value_bytes: int) -> int:
     """Tasks per chunk such that the longest form, every task placed, fits into one value."""
     longest = len('"99999":[4294967296,"n-0000000000000000",4294967296],') + 8
@@ -76,3 +98,20 @@
         else:
             found.append((number, number))
     return found
+
+
+# What a user's words may take in a record that was shortened.
+SHORT_TEXT = 40
+
+
+def end_record(record: JobRecord, stage: Literal["aborted", "done"], value_bytes: int | None) -> JobRecord:
+    """The record of a job that is over. One that was accepted under a larger limit than holds now goes
+    without what nobody needs any more; what counts tasks and teams is kept, and every version can read it."""
+    ended = msgspec.structs.replace(record, stage=stage)
+    if value_bytes is None or len(msgspec.json.encode(ended)) <= value_bytes:
+        return ended
+    spec = record.spec
+    shortened = msgspec.structs.replace(
+        spec, types=None, zone=None, image=spec.image[:SHORT_TEXT], job_class=spec.job_class[:SHORT_TEXT]
+    )
+    return msgspec.structs.replace(ended, spec=shortened)
--- a/spindleglade/submissions/views.py
+++ b/spindleglade/submissions/views.py
@@ -1,25 +1,29 @@
 """What a node knows of all jobs, to answer their users and to judge where tasks of aborted jobs may be."""
 
 from bisect import bisect_right, insort
-from typing import NamedTuple
 
 import msgspec
 
-from spindleglade.submissions.records import JOBS, TASKS, Chunk, JobRecord, split_chunk_key
-
-
-class ChunkView(NamedTuple):
-    """Tasks done, and the machines and their sessions that may have a task."""
-
-    done: int
-    placed: list[tuple[str, int]]
+from spindleglade.submissions.pieces import Pieces
+from spindleglade.submissions.records import (
+    JOBS,
+    PARTS,
+    TASKS,
+    Chunk,
+    JobRecord,
+    split_chunk_key,
+    split_part_key,
+)
 
 
 class JobView(msgspec.Struct):
     """What a node knows of a job to answer its user."""
 
     record: JobRecord
-    chunks: dict[int, ChunkView] = {}
+    # Which value speaks for which tasks.
+    pieces: Pieces
+    # The values by their first tasks, whole: how much of one is to be believed depends on the parts.
+    values: dict[int, Chunk] = {}
 
     @property
     def stage(self) -> str:
@@ -29,14 +33,40 @@
 
     @property
     def running(self) -> int:
-        return sum(len(chunk.placed) for chunk in self.chunks.values()) if self.record.stage == "open" else 0
+        if self.record.stage != "open":
+            return 0
+        return sum(len(chunk.placed) for chunk in self.believed())
 
     @property
     def done_count(self) -> int:
         if self.record.stage == "open":
-            return sum(chunk.done for chunk in self.chunks.values())
+            return sum(chunk.count_done() for chunk in self.believed())
         return self.record.spec.tasks if self.record.stage == "done" else 0
 
+    def believed(self) -> list[Chunk]:
+        """What the values say, without what is stale because a part speaks for it."""
+        found = []
+        for first, chunk in self.values.items():
+            end = self.pieces.end(first)
+            # Only what was split holds anything stale.
+            found.append(chunk.clipped(first, end) if self.pieces.is_part(end) else chunk)
+        return found
+
+    def take(self, key: str, chunk: Chunk | None) -> None:
+        """A value as it is now; None: it was removed."""
+        if key.startswith(PARTS):
+            _, first = split_part_key(key)
+            if chunk is None:
+                self.pieces.remove(first)
+            else:
+                self.pieces.add(first)
+        else:
+            first = split_chunk_key(key)[1] * self.record.chunk
+        if chunk is None:
+            self.values.pop(first, None)
+        else:
+            self.values[first] = chunk
+
 
 # Aborts that one message between siblings tells of.
 MOST_ABORTS = 2000
@@ -47,9 +77,9 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobView] = {}
-        # Chunks of jobs not known yet: a listing reads the jobs before the chunks, and one accepted in
-        # between shows its chunks first. They are not told again.
-        self.chunks_before_job: dict[str, dict[int, ChunkView]] = {}
+        # Values of jobs not known yet, by their keys: a listing reads the jobs before the chunks, and one
+        # accepted in between shows its chunks first. They are not told again.
+        self.chunks_before_job: dict[str, dict[str, Chunk]] = {}
         # Every abort known, by the mark of its record.
         self._aborts: list[tuple[int, str]] = []
         # Aborted jobs whose tasks are not all on record as over yet, and where those may be.
@@ -69,50 +99,63 @@
         be under way."""
         if self._aborted_places is None:
             self._aborted_places = {
-                where
+                (place.machine, place.session)
                 for job in self._aborted_with_tasks
-                for chunk in self.jobs[job].chunks.values()
-                for where in chunk.placed
+                for chunk in self.jobs[job].believed()
+                for place in chunk.placed.values()
             }
         return (machine, session) in self._aborted_places
 
     def listener(self, key: str, value: bytes | None, mark: int) -> None:
         if key.startswith(JOBS):
-            if value is None:
-                return
-            record = msgspec.json.decode(value, type=JobRecord)
-            job = record.spec.id
-            view = self.jobs.get(job)
-            if view is None:
-                view = self.jobs[job] = JobView(record, self.chunks_before_job.pop(job, {}))
-            view.record = record
-            if record.stage == "done":
-                view.chunks = {}
-            elif record.stage == "aborted":
-                insort(self._aborts, (mark, job))
-                self._note_remaining_tasks(job, view)
-        elif key.startswith(TASKS):
-            job, number = split_chunk_key(key)
-            view = self.jobs.get(job)
-            if view is not None and view.record.stage == "done":
-                return
-            chunks = self.chunks_before_job.setdefault(job, {}) if view is None else view.chunks
-            if value is None:
-                chunks.pop(number, None)
-            else:
+            if value is not None:
+                self._take_record(msgspec.json.decode(value, type=JobRecord), mark)
+        elif key.startswith((TASKS, PARTS)):
+            chunk = None
+            if value is not None:
                 chunk = msgspec.json.decode(value, type=Chunk)
-                placed = [(place.machine, place.session) for place in chunk.placed.values()]
-                chunks[number] = ChunkView(chunk.count_done(), placed)
-            if view is None:
-                if not chunks:
-                    del self.chunks_before_job[job]
-            elif view.record.stage == "aborted":
+                # Nobody asks here how often a task was tried.
+                chunk.tried = {}
+            self._take_value(key, chunk)
+
+    def _take_record(self, record: JobRecord, mark: int) -> None:
+        job = record.spec.id
+        view = self.jobs.get(job)
+        if view is None:
+            view = self.jobs[job] = JobView(record, Pieces(record.chunk, record.spec.tasks))
+            for key, chunk in self.chunks_before_job.pop(job, {}).items():
+                view.take(key, chunk)
+        view.record = record
+        if record.stage == "done":
+            view.values = {}
+        elif record.stage == "aborted":
+            insort(self._aborts, (mark, job))
+            self._note_remaining_tasks(job, view)
+
+    def _take_value(self, key: str, chunk: Chunk | None) -> None:
+        job = key.split("/")[2]
+        view = self.jobs.get(job)
+        if view is None:
+            self._take_early(job, key, chunk)
+        elif view.record.stage != "done":
+            view.take(key, chunk)
+            if view.record.stage == "aborted":
                 self._note_remaining_tasks(job, view)
 
+    def _take_early(self, job: str, key: str, chunk: Chunk | None) -> None:
+        chunks = self.chunks_before_job.setdefault(job, {})
+        if chunk is None:
+            chunks.pop(key, None)
+        else:
+            chunks[key] = chunk
+        if not chunks:
+            del self.chunks_before_job[job]
+
     def _note_remaining_tasks(self, job: str, view: JobView) -> None:
         self._aborted_places = None
-        if any(chunk.placed for chunk in view.chunks.values()):
+        if any(chunk.placed for chunk in view.believed()):
             self._aborted_with_tasks.add(job)
         else:
-            view.chunks = {}
+            # The boundaries stay: a chunk that is told after its parts may hold what is stale.
+            view.values = {}
             self._aborted_with_tasks.discard(job)
--- a/spindleglade/workers/attempts.py
+++ b/spindleglade/workers/attempts.py
@@ -5,8 +5,11 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+import msgspec
+
 from spindleglade.backfill.snapshot import MachineView
 from spindleglade.submissions.messages import RANK, Submission
+from spindleglade.submissions.pieces import Pieces
 from spindleglade.submissions.records import Chunk, JobRecord, Placement, runs
 from spindleglade.workers.messages import TaskReport, task_name
 
@@ -114,6 +117,7 @@
         "mark",
         "not_before",
         "order",
+        "pieces",
         "placed",
         "rank",
         "spec",
@@ -132,6 +136,8 @@
         self.mark = mark
         self.rank = RANK[record.spec.priority]
         self.types = None if record.spec.types is None else frozenset(record.spec.types)
+        # Which value of the store speaks for which tasks; versions are by the first task of each.
+        self.pieces = Pieces(record.chunk, record.spec.tasks)
         self.state = bytearray(record.spec.tasks)
         self.attempts: dict[int, int] = {}
         self.placed: dict[int, Assignment] = {}
@@ -156,8 +162,22 @@
     def complete(self) -> bool:
         return self.done == len(self.state)
 
+    def version(self, index: int) -> int:
+        """The latest version of the piece that speaks for the task."""
+        return self.versions.get(self.pieces.start(index), 0)
+
     def committed(self, index: int) -> int:
-        return self.committed_versions.get(index // self.chunk, 0)
+        return self.committed_versions.get(self.pieces.start(index), 0)
+
+    def split(self, start: int, width: int) -> list[int]:
+        """Splits a piece into ones of that many tasks at most; the first tasks of all of them. What of it is
+        committed stays so: the value in the store speaks for these tasks until their parts are there."""
+        firsts = self.pieces.cuts(start, width)
+        for first in firsts:
+            self.pieces.add(first)
+            self.versions[first] = self.versions.get(start, 0)
+            self.committed_versions[first] = self.committed_versions.get(start, 0)
+        return [start, *firsts]
 
     def waiting(self, most: int) -> list[int]:
         found: list[int] = []
@@ -167,9 +187,9 @@
             at = self.state.find(_WAITING_BYTE, at + 1)
         return found
 
-    def encode(self, number: int) -> Chunk | None:
-        """The chunk as it stands; None if there is nothing to say."""
-        first, end = number * self.chunk, min((number + 1) * self.chunk, len(self.state))
+    def encode(self, first: int) -> Chunk | None:
+        """The piece as it stands, by its first task; None if there is nothing to say."""
+        end = self.pieces.end(first)
         chunk = Chunk(done=runs([index for index in range(first, end) if self.state[index] == DONE]))
         for index in range(first, end):
             assignment = self.placed.get(index)
@@ -252,12 +272,27 @@
     pull_gb_per_s: float
 
 
+class PieceWrite(NamedTuple):
+    """The value of one piece, to be recorded."""
+
+    job: str
+    # Condition on the job's record; None: none.
+    job_mark: int | None
+    first: int
+    version: int
+    key: str
+    # None: nothing is left, and the key is removed. That of a part never is while its job is in memory.
+    value: msgspec.Raw | None
+    # A key whose mark is a condition as well; None: none.
+    depends: str | None = None
+
+
 @dataclass(slots=True)
 class Batch:
     """What one transaction shall record."""
 
-    # job, condition on its record (None: none), chunk number, version, what to write (None: nothing is left)
-    chunks: list[tuple[str, int | None, int, int, Chunk | None]] = field(default_factory=list)
+    # In this order: a piece comes after the parts to its right that are not in the store yet.
+    chunks: list[PieceWrite] = field(default_factory=list)
     # Jobs all of whose tasks are done.
     done: list[tuple[str, int, JobRecord]] = field(default_factory=list)
     # Chunks to remove, and the jobs that are over with them.
--- a/spindleglade/workers/cluster_base.py
+++ b/spindleglade/workers/cluster_base.py
@@ -49,10 +49,13 @@
         # Machines proven gone; late reports of theirs must not bring them back. Never emptied: nothing bounds
         # how late a report, or the list of machines, may still speak of one.
         self.gone: set[str] = set()
-        # Chunks that differ from what is recorded, the longest first.
+        # Pieces, by job and first task, that differ from what is recorded, the longest first.
         self.dirty: dict[tuple[str, int], None] = {}
         # Those of them with a start that waits for its record.
         self.starting: dict[tuple[str, int], None] = {}
+        # Pieces, and records (DONE_RECORD) of jobs that are done, that the store refused as too large, and
+        # the versions and marks that it refused: not tried again before they change.
+        self.set_aside: dict[tuple[str, int], int] = {}
         # Machines that may have something to be sent straight, the longest first. One that has not leaves,
         # and is put in again by whatever may change that: its report, a record, an order answered, a stop.
         # Looking at all that wait for their records, each time, took a third of the leader's time after a
@@ -103,9 +106,9 @@
         self._changed(job, assignment.index)
 
     def _changed(self, job: Job, index: int) -> None:
-        number = index // job.chunk
-        job.versions[number] = job.versions.get(number, 0) + 1
-        self.dirty[(job.id, number)] = None
+        first = job.pieces.start(index)
+        job.versions[first] = job.versions.get(first, 0) + 1
+        self.dirty[(job.id, first)] = None
         self.changes += 1
 
     def _retire(self, job: Job) -> None:
@@ -130,8 +133,8 @@
 
     @staticmethod
     def _all_recorded(job: Job) -> None:
-        for number in range((len(job.state) - 1) // job.chunk + 1):
-            job.committed_versions[number] = FOREVER
+        for first in [*job.pieces.chunks, *job.pieces.parts]:
+            job.committed_versions[first] = FOREVER
 
     def _not_receiving(self, machine: Machine, now: timedelta, reason: str) -> None:
         """Hearing a machine is not being heard by it. Nothing more is placed there until something shows that
--- a/spindleglade/workers/intake.py
+++ b/spindleglade/workers/intake.py
@@ -222,7 +222,7 @@
         machine.exited[(assignment.task, assignment.attempt)] = ExitedAttempt(
             job,
             assignment.index,
-            job.versions.get(assignment.index // job.chunk, 0),
+            job.version(assignment.index),
             assignment.direct and entry.cause != "done",
         )
 
@@ -293,7 +293,7 @@
             job.state[index] = DONE
             job.done += 1
             self._changed(job, index)
-            machine.exited[key] = ExitedAttempt(job, index, job.versions[index // job.chunk])
+            machine.exited[key] = ExitedAttempt(job, index, job.version(index))
         else:
             machine.exited[key] = ExitedAttempt(None, 0, 0)
 
--- a/spindleglade/workers/placing.py
+++ b/spindleglade/workers/placing.py
@@ -109,7 +109,7 @@
                 late = owed.setdefault(job.id, now - job.hungry >= self.rules.patience)
                 job.hungry = now
                 self._changed(job, start.index)
-                self.starting[(job.id, start.index // job.chunk)] = None
+                self.starting[(job.id, job.pieces.start(start.index))] = None
                 self.due[machine.name] = None
                 assignment = Assignment(
                     job,
@@ -117,7 +117,7 @@
                     attempt,
                     machine.name,
                     machine.session,
-                    job.versions[start.index // job.chunk],
+                    job.version(start.index),
                     now,
                     owed=late,
                 )
--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -21,11 +21,12 @@
     Put,
     Refused,
     StateClient,
+    TooLarge,
     Unavailable,
     Unknown,
     raw,
 )
-from spindleglade.submissions.records import JOBS, JobRecord, chunk_key, job_key
+from spindleglade.submissions.records import JOBS, JobRecord, job_key
 from spindleglade.tasks import spawn
 from spindleglade.workers.attempts import Batch
 from spindleglade.workers.cluster import Cluster
@@ -57,8 +58,14 @@
         self._deposed = deposed
         self._stopped = False
         self._idle: Deferred[None] | None = None
-        # Conditions cost too: four times the changes are allowed, one is the leader key, two a chunk.
+        # Conditions cost too: four times the changes are allowed, one is the leader key, three a part.
         self._most = max(1, client.limits.operations - 1)
+        # The limit on values by which the latest batch was collected.
+        self._limit = client.value_bytes
+        # What was last refused for its size.
+        self._refused: list[tuple[str, bytes]] | None = None
+        # How many batches of one item are still to come, after a larger one was refused for its size.
+        self._singly = 0
 
     def start(self) -> None:
         spawn(self._run(), "recorder")
@@ -74,7 +81,9 @@
 
     async def _run(self) -> None:
         while not self._stopped:
-            batch = self._cluster.collect(self._most, self._marks, self._client.spare_writes)
+            most = 1 if self._singly else self._most
+            self._limit = self._client.value_bytes
+            batch = self._cluster.collect(most, self._marks, self._client.spare_writes, self._limit)
             if batch.size == 0:
                 for job in batch.over:
                     self._cluster.forget(job)
@@ -86,14 +95,21 @@
                     await self._idle
                 continue
             self._fit(batch)
+            self._singly = max(0, self._singly - 1)
+            if _contents(batch) == self._refused:
+                self._too_large(batch, "refused before")
+                continue
             try:
                 result = await self._write(batch)
+            except TooLarge as error:
+                self._too_large(batch, str(error))
+                continue
             except (Unavailable, Unknown) as error:
                 log.info("record delayed size=%d reason=%s", batch.size, error)
                 if isinstance(error, Unknown):
-                    for job, _, number, _, _ in batch.chunks:
+                    for write in batch.chunks:
                         # It may be there. Else that of a job aborted meanwhile would be left in the store.
-                        self._marks.setdefault(chunk_key(job, number), 0)
+                        self._marks.setdefault(write.key, 0)
                 self._cluster.put_back(batch)
                 await sleep(self._clock, timedelta(seconds=0.3))
                 continue
@@ -113,8 +129,8 @@
         """Puts back what would make the transaction larger than the service takes: eleven full chunks of a
         large job are twice as much, and the refusal would repeat for ever."""
         size, kept = 0, 0
-        for _, _, _, _, chunk in batch.chunks:
-            size += len(raw(chunk))
+        for write in batch.chunks:
+            size += 0 if write.value is None else len(write.value)
             if kept and size > MOST_BYTES:
                 break
             kept += 1
@@ -124,21 +140,38 @@
             back.done, batch.done = batch.done, []
         self._cluster.put_back(back)
 
+    def _too_large(self, batch: Batch, reason: str) -> None:
+        """The same is never sent again. What the limit now in force makes smaller is collected anew; else
+        each item is tried alone, and one that is refused alone waits until it changes."""
+        self._refused = _contents(batch)
+        limit = self._client.value_bytes
+        if limit < self._limit and any(len(value) > limit for _, value in self._refused):
+            log.info("record too large size=%d limit=%d reason=%s", batch.size, limit, reason)
+        elif batch.size > 1:
+            log.info("record too large, tried one by one size=%d reason=%s", batch.size, reason)
+            self._singly = batch.size
+        else:
+            keys = ",".join(key for key, _ in self._refused)
+            log.error("record refused as too large keys=%s reason=%s", keys, reason)
+            self._cluster.set_aside_alone(batch)
+        self._cluster.put_back(batch)
+
     async def _write(self, batch: Batch) -> Committed | Refused:
         when = {LEADER: self._term.mark}
         writes: list[Put | Delete] = []
-        for job, mark, number, _, chunk in batch.chunks:
-            key = chunk_key(job, number)
-            stored = self._marks.get(key, 0)
-            when[key] = stored
-            if mark is not None:
+        for write in batch.chunks:
+            stored = self._marks.get(write.key, 0)
+            when[write.key] = stored
+            if write.job_mark is not None:
                 # An abort between the placing and its record makes this fail, so nothing of an aborted job
                 # is ever recorded as placed.
-                when[job_key(job)] = mark
-            if chunk is not None:
-                writes.append(Put(key, raw(chunk)))
+                when[job_key(write.job)] = write.job_mark
+            if write.depends is not None:
+                when[write.depends] = self._marks.get(write.depends, 0)
+            if write.value is not None:
+                writes.append(Put(write.key, write.value))
             elif stored:
-                writes.append(Delete(key))
+                writes.append(Delete(write.key))
         for job, mark, record in batch.done:
             when[job_key(job)] = mark
             writes.append(Put(job_key(job), raw(record)))
@@ -149,13 +182,12 @@
         return await self._client.txn([Condition(key, mark) for key, mark in when.items()], writes)
 
     def _apply(self, batch: Batch, turn: int) -> None:
-        for job, _, number, version, chunk in batch.chunks:
-            key = chunk_key(job, number)
-            if chunk is None:
-                self._marks.pop(key, None)
+        for write in batch.chunks:
+            if write.value is None:
+                self._marks.pop(write.key, None)
             else:
-                self._marks[key] = turn
-            self._cluster.committed(job, number, version)
+                self._marks[write.key] = turn
+            self._cluster.committed(write.job, write.first, write.version)
         for job, _, _ in batch.done:
             self._cluster.finished(job, turn)
         for _, key in batch.removed:
@@ -190,3 +222,10 @@
         self._cluster.take_job(record, entry.mark)
         # There may be tasks to stop.
         self._committed()
+
+
+def _contents(batch: Batch) -> list[tuple[str, bytes]]:
+    """What a batch would write, by key; nothing for a key that it removes."""
+    values = [(write.key, b"" if write.value is None else bytes(write.value)) for write in batch.chunks]
+    ends = [(job_key(job), bytes(raw(record))) for job, _, record in batch.done]
+    return values + ends + [(key, b"") for _, key in batch.removed]
