--- a/spindleglade/leader.py
+++ b/spindleglade/leader.py
@@ -34,14 +34,17 @@
     DEPENDENCIES,
     HISTORY,
     JOBS,
+    PARTS,
     PREFIX,
     TASKS,
     Chunk,
     JobRecord,
-    JobViews,
     chunk_key,
+    part_key,
     split_chunk_key,
+    split_part_key,
 )
+from spindleglade.submissions.views import JobViews
 from spindleglade.tasks import spawn
 from spindleglade.web import Turns
 from spindleglade.workers.attempts import Deposed, Rules
@@ -217,6 +220,7 @@
         marks: dict[str, int] = {}
         records: list[tuple[JobRecord, int]] = []
         chunks: list[tuple[str, int, Chunk]] = []
+        parts: list[tuple[str, int, Chunk]] = []
         for entry in entries:
             if entry.key.startswith((JOBS, DEPENDENCIES)):
                 # The listing may be ahead of the watch, and the graph of dependencies is the replica's.
@@ -229,6 +233,10 @@
                     job, number = split_chunk_key(entry.key)
                     chunks.append((job, number, msgspec.json.decode(entry.value, type=Chunk)))
                     marks[entry.key] = entry.mark
+                elif entry.key.startswith(PARTS):
+                    job, first = split_part_key(entry.key)
+                    parts.append((job, first, msgspec.json.decode(entry.value, type=Chunk)))
+                    marks[entry.key] = entry.mark
                 elif entry.key.startswith(HISTORY):
                     self._history_marks[entry.key] = entry.mark
                     team = entry.key[len(HISTORY) :]
@@ -239,11 +247,20 @@
                     self._unreadable.add(entry.key.split("/")[2])
         for record, mark in records:
             self._take(cluster, record, mark)
+        # The parts say how far each value is to be believed, so all are known before any is taken in.
+        for job, first, _ in parts:
+            if job not in self._unreadable:
+                cluster.learn_part(job, first)
         for job, number, chunk in chunks:
             if job in self._unreadable:
                 marks.pop(chunk_key(job, number), None)
             else:
                 cluster.load_chunk(job, number, chunk, now)
+        for job, first, chunk in parts:
+            if job in self._unreadable:
+                marks.pop(part_key(job, first), None)
+            else:
+                cluster.load_part(job, first, chunk, now)
         return marks
 
     def job_changed(self, record: JobRecord, mark: int) -> None:
@@ -365,7 +382,7 @@
         with self.cluster.lock:
             teams, self.cluster.learned = self.cluster.learned, set()
             writes = [Put(HISTORY + team, raw(self.predictor.export(team))) for team in sorted(teams)]
-        most = self._client.limits.txn_ops
+        most = self._client.limits.operations
         for at in range(0, len(writes), most):
             part = writes[at : at + most]
             # A transaction without an answer may be carried out after newer ones of this same term.
--- a/spindleglade/submissions/acceptance.py
+++ b/spindleglade/submissions/acceptance.py
@@ -30,7 +30,7 @@
     for number, names in enumerate(lists):
         writes.append(Put(dependency_key(record.spec.id, number), raw(names)))
     size = sum(len(write.value) for write in writes)
-    if len(writes) > limits.txn_ops or size > TRANSACTION_BYTES:
+    if len(writes) > limits.operations or size > TRANSACTION_BYTES:
         raise TooManyDependencies(len(record.dependencies))
     return writes
 
--- a/spindleglade/submissions/test_dependencies.py
+++ b/spindleglade/submissions/test_dependencies.py
@@ -14,8 +14,9 @@
 from spindleglade.submissions.acceptance import TooManyDependencies, acceptance_writes, split_list
 from spindleglade.submissions.dependencies import DependencyGraph, Outcome
 from spindleglade.submissions.messages import decode_submission
-from spindleglade.submissions.records import JobRecord, JobViews, dependency_key, job_key
+from spindleglade.submissions.records import JobRecord, dependency_key, job_key
 from spindleglade.submissions.test_submissions import Service, encode
+from spindleglade.submissions.views import JobViews
 from spindleglade.workers.test_cluster import spec
 
 SIZE = 6
--- a/spindleglade/test_leader.py
+++ b/spindleglade/test_leader.py
@@ -15,11 +15,11 @@
     HISTORY,
     Chunk,
     JobRecord,
-    JobViews,
     Placement,
     chunk_key,
     job_key,
 )
+from spindleglade.submissions.views import JobViews
 from spindleglade.tasks import spawn
 from spindleglade.workers.test_cluster import TOKEN, make_cluster, spec
 from tests.deployment import Deployment, platform
--- a/spindleglade/workers/test_dependents.py
+++ b/spindleglade/workers/test_dependents.py
@@ -10,7 +10,8 @@
 from spindleglade.leadership.election import Term
 from spindleglade.settings import OperatorSettings
 from spindleglade.store.client import Entry, Listing, raw
-from spindleglade.submissions.records import JobRecord, JobViews, job_key
+from spindleglade.submissions.records import JobRecord, job_key
+from spindleglade.submissions.views import JobViews
 from spindleglade.workers.recorder import Recorder
 from spindleglade.workers.test_cluster import RULES, TOKEN, Harness, spec
 from spindleglade.workers.test_recorder import Store
