--- a/spindleglade/fleet/types.py
+++ b/spindleglade/fleet/types.py
@@ -11,7 +11,7 @@
 from spindleglade.clock import Clock, seconds, sleep
 from spindleglade.fleet.client import CloudClient, Refused, Silent
 from spindleglade.fleet.messages import MachineType, Types
-from spindleglade.store.client import Condition, Put, StateClient, Unavailable, Unknown, raw
+from spindleglade.store.client import Committed, Condition, Put, StateClient, Unavailable, Unknown, raw
 from spindleglade.store.replica import Replica
 from spindleglade.submissions.messages import MachineShape
 from spindleglade.submissions.records import TYPES
@@ -20,6 +20,9 @@
 
 log = logging.getLogger("spindleglade.fleet")
 
+# What does not fit into the first value, one key after the other; the version before reads the first alone.
+MORE_TYPES = TYPES + "/"
+
 
 class TypeBook:
     def __init__(
@@ -38,11 +41,18 @@
         self._every = seconds(every_s)
         self._leads = leads
         self.types: list[MachineType] = []
+        # What the store holds, by key.
+        self._shared: dict[str, list[MachineType]] = {}
         replica.listen(self.listener)
 
     def listener(self, key: str, value: bytes | None, mark: int) -> None:
-        if key == TYPES and value is not None and not self._leads():
-            self.types = msgspec.json.decode(value, type=Types).types
+        if value is None or not (key == TYPES or key.startswith(MORE_TYPES)):
+            return
+        self._shared[key] = msgspec.json.decode(value, type=Types).types
+        # The first is written with or after the others: with it all are known.
+        if TYPES in self._shared and not self._leads():
+            keys = sorted(self._shared, key=lambda shared: (len(shared), shared))
+            self.types = [entry for shared in keys for entry in self._shared[shared]]
 
     def shapes(self) -> list[MachineShape] | None:
         if not self.types:
@@ -83,7 +93,32 @@
         if first:
             log.info("machine types known types=%s", ",".join(entry.name for entry in types))
         if TYPES not in self._replica.marks and self._replica.loaded:
-            try:
-                await self._client.txn([Condition(TYPES, 0)], [Put(TYPES, raw(Types(types)))])
-            except (Unavailable, Unknown) as error:
-                log.info("machine types not shared reason=%s", error)
+            await self._share(types)
+
+    async def _share(self, types: list[MachineType]) -> None:
+        """Writes them once, in as many values as it takes; that which all versions read comes last, and as
+        many types as fit are in it."""
+        puts = [
+            Put(f"{MORE_TYPES}{number}" if number else TYPES, raw(Types(group)))
+            for number, group in enumerate(group_types(types, self._client.limits.value_bytes))
+        ]
+        missing = [put for put in reversed(puts) if put.key not in self._replica.marks]
+        most = self._client.limits.operations
+        try:
+            for at in range(0, len(missing), most):
+                part = missing[at : at + most]
+                result = await self._client.txn([Condition(put.key, 0) for put in part], part)
+                if not isinstance(result, Committed):
+                    return
+        except (Unavailable, Unknown) as error:
+            log.info("machine types not shared reason=%s", error)
+
+
+def group_types(types: list[MachineType], value_bytes: int) -> list[list[MachineType]]:
+    """The types in order, as many to a value as fit."""
+    groups: list[list[MachineType]] = [[]]
+    for entry in types:
+        if groups[-1] and len(raw(Types([*groups[-1], entry]))) > value_bytes:
+            groups.append([])
+        groups[-1].append(entry)
+    return groups
--- a/spindleglade/leader.py
+++ b/spindleglade/leader.py
@@ -310,6 +310,8 @@
         with self.cluster.lock:
             teams, self.cluster.learned = self.cluster.learned, set()
             writes = [Put(HISTORY + team, raw(self.predictor.export(team))) for team in sorted(teams)]
+        # Some 25 bins, a few hundred bytes. Bins set so fine that they do not fit are not kept.
+        writes = [put for put in writes if len(put.value) <= self._client.limits.value_bytes]
         most = self._client.limits.operations
         for at in range(0, len(writes), most):
             part = writes[at : at + most]
--- a/spindleglade/submissions/api.py
+++ b/spindleglade/submissions/api.py
@@ -13,7 +13,16 @@
 import msgspec
 
 from spindleglade.settings.platform import Team
-from spindleglade.store.client import Committed, Condition, Put, StateClient, Unavailable, Unknown, raw
+from spindleglade.store.client import (
+    Committed,
+    Condition,
+    Put,
+    StateClient,
+    TooLarge,
+    Unavailable,
+    Unknown,
+    raw,
+)
 from spindleglade.store.replica import Replica, Unconfirmed
 from spindleglade.submissions.messages import (
     Impossible,
@@ -24,7 +33,7 @@
     decode_submission,
     named_job,
 )
-from spindleglade.submissions.records import JobRecord, chunk_size, job_key
+from spindleglade.submissions.records import JobRecord, chunk_size, end_record, job_key
 from spindleglade.submissions.views import JobView, JobViews
 from spindleglade.web import BODY_LIMIT, Answer, encode_json
 
@@ -35,6 +44,8 @@
 
 # How soon to come back: a store that refuses or is silent is tried again each second.
 LATER = Answer(503, b'{"error":"try again later"}', 1)
+# What no value of the state service can hold.
+TOO_LARGE = Answer(400, b'{"error":"the job\'s description is too large to be kept"}')
 
 Forward = Callable[[str, str, bytes], Awaitable[Answer | None]]
 
@@ -110,8 +121,13 @@
             return await self._refuse(job.id, _error(422, str(error)))
         record = JobRecord("open", job, self._chunk, self._utc())
         key = job_key(job.id)
+        if len(raw(record)) > self._client.limits.largest_new_value:
+            return await self._refuse(job.id, TOO_LARGE)
         try:
             result = await self._client.txn([Condition(key, 0)], [Put(key, raw(record))], urgent=True)
+        except TooLarge as error:
+            log.info("submission too large job=%s reason=%s", job.id, error)
+            return await self._refuse(job.id, TOO_LARGE)
         except (Unavailable, Unknown) as error:
             log.info("submission not taken job=%s reason=%s", job.id, error)
             return LATER
@@ -168,10 +184,16 @@
             if record.stage != "open":
                 return Answer(200, encode_json(JobAnswer(job, record.stage)))
             key = job_key(job)
-            aborted = JobRecord("aborted", record.spec, record.chunk, record.accepted)
+            aborted = end_record(record, "aborted", self._client.value_bytes)
             condition = Condition(key, self._replica.marks.get(key, 0))
             try:
                 result = await self._client.txn([condition], [Put(key, raw(aborted))], urgent=True)
+            except TooLarge as error:
+                log.info("abort not taken job=%s reason=%s", job, error)
+                if end_record(record, "aborted", self._client.value_bytes) == aborted:
+                    # The same is not asked for twice.
+                    return LATER
+                continue
             except (Unavailable, Unknown) as error:
                 log.info("abort not taken job=%s reason=%s", job, error)
                 return LATER
--- a/spindleglade/submissions/test_submissions.py
+++ b/spindleglade/submissions/test_submissions.py
@@ -9,8 +9,8 @@
 from twisted.internet.defer import Deferred
 
 from spindleglade.settings import Team
-from spindleglade.settings.platform import StateLimits
-from spindleglade.store.client import Committed, Put, Refused, Unavailable, raw
+from spindleglade.settings.platform import NextStateLimits, StateLimits
+from spindleglade.store.client import Committed, Put, Refused, TooLarge, Unavailable, raw
 from spindleglade.store.replica import Unconfirmed
 from spindleglade.submissions.api import UserApi
 from spindleglade.submissions.messages import (
@@ -26,6 +26,7 @@
     Placement,
     chunk_key,
     chunk_size,
+    end_record,
     job_key,
     runs,
     split_chunk_key,
@@ -214,6 +215,7 @@
 
     def __init__(self):
         self.limits = StateLimits(100.0, 40.0, 16.0, 12)
+        self.value_bytes, self.most, self.refused = 16 * 1024, 16 * 1024, []
         self.keys, self.marks, self.turn, self.reachable = {}, {}, 0, True
         self.views = JobViews()
         self.answer = None
@@ -230,6 +232,11 @@
     async def txn(self, when, writes, urgent=False):
         if not self.reachable:
             raise Unavailable("503")
+        if any(len(write.value) > self.most for write in writes):
+            assert writes not in self.refused, "repeated unchanged"
+            self.refused.append(writes)
+            self.value_bytes = self.limits.value_bytes
+            raise TooLarge("400")
         failed = {at.key for at in when if self.keys.get(at.key, (b"", 0))[1] != at.mark}
         if failed:
             return Refused(frozenset(failed), self.turn)
@@ -310,3 +317,41 @@
     assert service.status("GET", "/submissions/job-000412") == 503
     assert service.status("POST", "/submissions/job-000412/abort") == 503
     assert service.status("GET", "/submissions/job-1") == 404
+
+
+LARGE = encode(frames=["g8", *(f"type-{number:03d}" + "x" * 80 for number in range(40))], pattern="i" * 400)
+
+
+def test_a_job_too_large_to_be_kept_is_refused_at_once_unless_it_is_known():
+    """It was answered 503, for ever."""
+    service = Service()
+    service.limits = StateLimits(100.0, 40.0, 16.0, 12, NextStateLimits(value_kb=2.0))
+    assert service.status("POST", "/submissions", LARGE) == 400 and not service.refused
+    service.write([Put(job_key("job-000412"), raw(JobRecord("open", decode_submission(LARGE), 8)))])
+    assert service.status("POST", "/submissions", LARGE) == 200
+    # Nor where the service takes less than the settings say.
+    service = Service()
+    service.most = 2048
+    assert service.status("POST", "/submissions", LARGE) == 400 and len(service.refused) == 1
+
+
+def test_a_job_accepted_under_a_larger_limit_can_still_be_aborted():
+    service = Service()
+    service.limits = StateLimits(100.0, 40.0, 16.0, 12, NextStateLimits(value_kb=2.0))
+    spec = decode_submission(LARGE)
+    service.write([Put(job_key(spec.id), raw(JobRecord("open", spec, 8)))])
+    service.most = 2048
+    assert b"aborted" in service.ask("POST", "/submissions/job-000412/abort")[0].body
+    assert len(service.refused) == 1
+    kept = msgspec.json.decode(service.keys[job_key(spec.id)][0], type=JobRecord)
+    assert kept.stage == "aborted" and kept.chunk == 8
+    assert (kept.spec.team, kept.spec.cpus, kept.spec.gpus, kept.spec.memory_gb, kept.spec.tasks) == (
+        spec.team, spec.cpus, spec.gpus, spec.memory_gb, spec.tasks,
+    )  # fmt: skip
+
+
+def test_the_record_of_a_job_that_is_over_is_shortened_only_where_it_must_be():
+    record = JobRecord("open", decode_submission(LARGE), 8)
+    whole = msgspec.structs.replace(record, stage="done")
+    assert end_record(record, "done", None) == whole == end_record(record, "done", len(raw(whole)))
+    assert len(raw(end_record(record, "done", 1843))) <= 1843
--- a/spindleglade/workers/test_splitting.py
+++ b/spindleglade/workers/test_splitting.py
@@ -112,4 +112,4 @@
 
 
 TestSplittingStory = SplittingStory.TestCase
-TestSplittingStory.settings = settings(max_examples=60, stateful_step_count=40)
+TestSplittingStory.settings = settings(max_examples=150, stateful_step_count=40)
