--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,11 +5,11 @@
 import pytest
 
 from spindleglade.clock import seconds
-from tests.production import TASKS
+from tests.production import HISTORY, JOBS, TASKS, VOUCHED, decode_record, split_chunk_key
 from tests.recorded_day import LARGE_ARRAY, RECORDED, recorded_world
 from tests.rules import OVER
 from tests.standins import encode
-from tests.stored_tasks import Attempts, StoredTasks
+from tests.stored_tasks import PARTS, Attempts, StoredTasks
 
 # Values, transactions and rates as they may be from some moment on.
 NEXT = {"value_kb": 2.0, "txn_ops": 4, "rps": 150.0, "write_rps": 40.0}
@@ -140,6 +140,31 @@
     settle(world)
 
 
+@pytest.mark.parametrize("seed", range(2))
+def test_production_can_read_all_until_the_limits_fall(seed):
+    """A process that dies before its turn comes back old, while the next limits are announced already."""
+    world = begin_day(680 + seed)
+    world.change_leaders(3, seconds(12))
+    for _ in range(30):
+        world.run(seconds(0.5))
+        for key, (value, _, _) in world.state.keys.items():
+            assert not key.startswith(PARTS), key
+            if key.startswith((JOBS, TASKS, HISTORY, VOUCHED)):
+                decode_record(key, encode(value))
+            if key.startswith(TASKS):
+                assert_speaks_for_its_tasks(world, key, value)
+    settle(world)
+
+
+def assert_speaks_for_its_tasks(world, key, value):
+    """Production goes by the record's chunk size to find a task's chunk."""
+    job, number = split_chunk_key(key)
+    size = world.state.keys[JOBS + job][0]["chunk"]
+    chunk = decode_record(key, encode(value))
+    ends = [task for run in chunk.done for task in run]
+    assert all(task // size == number for task in [*chunk.placed, *chunk.tried, *ends]), key
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_a_long_list_of_dependencies_fits_the_next_limits(seed):
     """Needs dependencies as well."""
