--- a/tests/stored_tasks.py
+++ b/tests/stored_tasks.py
@@ -29,6 +29,7 @@
     def _write_and_look(self, writes: list[dict]) -> None:
         # Before it is told to anybody: the store tells watchers within the write.
         self._write(writes)
+        self._world.counts["parts written"] += sum(write.get("set", "").startswith(PARTS) for write in writes)
         if any(self._about_tasks(write) for write in writes):
             self._look()
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,8 +3,11 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from spindleglade.clock import seconds
+from tests.faults import FAULTS, do
 from tests.production import HISTORY, JOBS, TASKS, VOUCHED, decode_record, split_chunk_key
 from tests.recorded_day import LARGE_ARRAY, RECORDED, recorded_world
 from tests.rules import OVER
@@ -60,9 +63,10 @@
     lower(world, after)
     assert largest_value(world) > NEXT["value_kb"] * 1024
     world.run(seconds(30))
+    assert world.counts["parts written"] > 3
     settle(world)
     assert world.told[LARGE_ARRAY] == "done"
-    assert not any(key.startswith(TASKS + LARGE_ARRAY) for key in world.state.keys)
+    assert not any(key.startswith((TASKS + LARGE_ARRAY, PARTS + LARGE_ARRAY)) for key in world.state.keys)
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -101,6 +105,17 @@
     settle(world)
 
 
+@settings(max_examples=8)
+@given(st.integers(0, 1 << 30), FAULTS, st.floats(0.1, 15))
+def test_limits_that_fall_whatever_else_fails(seed, faults, after):
+    world = begin_day(seed)
+    lower(world, after)
+    for kind, at, length, hold, pick in faults:
+        world.clock.later(seconds(at), do, world, kind, length, hold, pick)
+    world.run(seconds(24))
+    settle(world)
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_a_job_of_production_is_cancelled_while_its_chunk_is_moved(seed):
     world = begin_day(640 + seed)
