Graph of dependencies forgets pipelines that are over; urgency takes a twentieth of the time

Jobs cancelled through an ancestor stayed members, so each pass over the pipelines would have looked at all that were ever cancelled. Shown by test_the_graph_keeps_nothing_of_pipelines_that_are_over, which fails without the change.

--- a/spindleglade/leader.py
+++ b/spindleglade/leader.py
@@ -58,6 +58,8 @@
 
 # How long changes of pipelines are gathered before priorities and deadlines are passed on again.
 URGENCY_DELAY = seconds(0.2)
+# Share of the time that this may take.
+URGENCY_SHARE = 0.05
 
 
 class Leader:
@@ -98,6 +100,7 @@
         # Changes that came while everything was being read.
         self._early: list[tuple[JobRecord, int]] | None = []
         self._urgency_timer: Any = None
+        self._urgency_delay = URGENCY_DELAY
         # Jobs with a record that cannot be read.
         self._unreadable: set[str] = set()
         # Marks of the teams' histories in the store.
@@ -288,13 +291,14 @@
             self._changed()
             if self._urgency_timer is None:
                 # Many jobs may change at once, and the pass looks at all that are unfinished.
-                self._urgency_timer = self._clock.later(URGENCY_DELAY, self._update_urgency)
+                self._urgency_timer = self._clock.later(self._urgency_delay, self._update_urgency)
 
     def _update_urgency(self) -> None:
         """Passes priorities and deadlines on from the ends of pipelines to their beginnings."""
         self._urgency_timer = None
         if self._ended:
             return
+        began = self._clock.now()
         graph = self._views.graph
         members = self.cluster.chain_members(graph.members())
         jobs = {
@@ -311,6 +315,8 @@
             if jobs[name].dependents and urgency.deadline is not None:
                 latest = urgency.deadline - jobs[name].expected * 2
             self.cluster.set_urgency(name, urgency.rank, latest)
+        # With thousands of jobs in pipelines a pass takes long; reports and leases go first.
+        self._urgency_delay = max(URGENCY_DELAY, (self._clock.now() - began) / URGENCY_SHARE)
 
     def _update_dependent(self, job: str) -> None:
         """Applies to the cluster state what the graph of dependencies says of the job."""
--- a/spindleglade/submissions/dependencies.py
+++ b/spindleglade/submissions/dependencies.py
@@ -36,7 +36,7 @@
 
     def is_released(self, job: str) -> bool:
         """Whether every dependency of the job is done."""
-        return job not in self._missing
+        return job not in self._missing and job not in self._cancelled
 
     def is_cancelled(self, job: str) -> bool:
         """Whether an ancestor of the job is aborted."""
@@ -65,11 +65,11 @@
         if not missing:
             self._missing.pop(job, None)
             return {job}
+        if any(self._is_aborted(name) for name in missing):
+            return self._cancel([job])
         self._missing[job] = missing
         for name in missing:
             self._dependents.setdefault(name, []).append(job)
-        if any(self._is_aborted(name) for name in missing):
-            return missing | self._cancel([job])
         return missing
 
     def observe(self, job: str, outcome: Outcome) -> set[str]:
@@ -80,7 +80,8 @@
         if outcome is Outcome.DONE:
             return self._release(self._dependents.pop(job, []), job)
         if outcome is Outcome.ABORTED:
-            return self._cancel(self._dependents.get(job, []))
+            self._missing.pop(job, None)
+            return self._cancel(self._dependents.pop(job, []))
         return set()
 
     def _is_aborted(self, job: str) -> bool:
@@ -99,14 +100,15 @@
         return released
 
     def _cancel(self, jobs: Iterable[str]) -> set[str]:
-        """Marks these jobs and all their descendants."""
+        """Marks these jobs and all their descendants, and forgets what they waited for."""
         cancelled: set[str] = set()
-        pending = [job for job in jobs if job not in self._cancelled]
+        pending = [job for job in jobs if self._outcomes.get(job) is not Outcome.ABORTED]
         while pending:
             job = pending.pop()
             if job in self._cancelled:
                 continue
             self._cancelled.add(job)
             cancelled.add(job)
-            pending.extend(self._dependents.get(job, ()))
+            self._missing.pop(job, None)
+            pending.extend(self._dependents.pop(job, ()))
         return cancelled
--- a/spindleglade/submissions/test_dependencies.py
+++ b/spindleglade/submissions/test_dependencies.py
@@ -285,3 +285,19 @@
     parts = split_list(names, most)
     assert [entry for part in parts for entry in part] == names
     assert all(part and len(raw(part)) <= most for part in parts)
+
+
+def test_the_graph_keeps_nothing_of_pipelines_that_are_over():
+    """Each later pass over all members would look at every job that was ever cancelled."""
+    graph = DependencyGraph()
+    for last in (Outcome.DONE, Outcome.ABORTED):
+        first, second, third = (f"job-{last.value}-{place}" for place in range(3))
+        for job, needs in ((first, []), (second, [first]), (third, [first, second])):
+            graph.observe(job, Outcome.OPEN)
+            graph.add(job, needs)
+        assert len(graph.members()) == 3
+        graph.observe(first, last)
+        graph.observe(second, Outcome.ABORTED)
+        assert not graph.members() and graph.is_cancelled(third) and not graph.is_released(third)
+        # One that names a cancelled job later leaves nothing either.
+        assert graph.add(f"{third}-late", [third]) == {f"{third}-late"} and not graph.members()
