--- /dev/null
+++ b/tests/liveness.py
@@ -0,0 +1,94 @@
+"""That the service goes on once all troubles are over, checked in every simulated deployment."""
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from spindleglade.clock import seconds
+from tests.rules import OVER
+
+if TYPE_CHECKING:
+    from spindleglade.app import Node
+    from tests.world import World
+
+# How long after the latest trouble some controller must lead, and be entitled to start and to rent.
+LEADS_WITHIN = seconds(20)
+# How long no task may run while accepted work waits and there is room for it.
+STARTS_WITHIN = seconds(90)
+# Between two looks.
+LOOK_EVERY = seconds(1)
+
+
+class LivenessRules:
+    """Notes in `world.broken` what breaks a rule of liveness.
+
+    - `nobody_leads`: no controller leads, or the one that does may neither start tasks nor rent machines.
+    - `stands_still`: no task runs and none has started for `STARTS_WITHIN`, while an accepted job waits whose
+      team is under its limit, and a machine or the cloud has room for it.
+    """
+
+    def __init__(self, world: "World") -> None:
+        self._world = world
+        self._looked = timedelta(0)
+        # Since when there has been no trouble, with these controllers' processes.
+        self._quiet_since = timedelta(0)
+        self._processes: set[int] = set()
+        self._latest_start = timedelta(0)
+
+    def task_started(self) -> None:
+        self._latest_start = self._world.clock.now()
+
+    def look(self) -> None:
+        """At any moment."""
+        now = self._world.clock.now()
+        if now - self._looked < LOOK_EVERY:
+            return
+        self._looked = now
+        processes = {id(node) for node in self._world.nodes.values()}
+        if self._troubled() or processes != self._processes:
+            self._quiet_since, self._processes = now, processes
+        if now - self._quiet_since > LEADS_WITHIN and processes:
+            self._look_at_leader()
+        self._look_at_work(now)
+
+    def _troubled(self) -> bool:
+        world = self._world
+        return (
+            world.clock.now() < world.calm
+            or world.state.down
+            or world.cloud.trouble
+            or bool(world.cuts or world.refused or world.silent)
+            or bool(world.not_receiving or world.not_reporting)
+        )
+
+    def _look_at_leader(self) -> None:
+        leaders = [node for node in self._world.nodes.values() if node.leads]
+        if not leaders:
+            self._broken("nobody_leads: no controller leads")
+        elif not any(map(_may_act, leaders)):
+            self._broken("nobody_leads: the leader may not act")
+
+    def _look_at_work(self, now: timedelta) -> None:
+        since = max(self._quiet_since, self._latest_start)
+        if now - since <= STARTS_WITHIN or any(self._world.on.values()):
+            return
+        for job_id in sorted(self._world.accepted):
+            if now - self._world.sent[job_id] > STARTS_WITHIN and self._could_start(job_id):
+                self._broken(f"stands_still: {job_id} waits and nothing has started since {since}")
+                return
+
+    def _could_start(self, job_id: str) -> bool:
+        world = self._world
+        if world.told.get(job_id) in OVER or world.dependencies.cancelled(job_id):
+            return False
+        if world.is_complete(job_id) or not world.dependencies.released(job_id):
+            return False
+        job = world.jobs[job_id]
+        return world.has_room(job) or world.cloud.has_room
+
+    def _broken(self, what: str) -> None:
+        self._world.broken.append(f"{what} at {self._world.clock.now()}")
+
+
+def _may_act(node: "Node") -> bool:
+    """Whether the leader may start tasks, and rent and give back machines."""
+    return node.leader is not None and node._leaders_bound.holds and node._proven()
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,80 @@
+"""The list of known failures passes over what it names and nothing else."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+CONFTEST = """
+import pytest
+from tests.known_red import FILE_NAME, KnownRed, read_listed
+
+def pytest_configure(config):
+    config.pluginmanager.register(KnownRed(read_listed(config.rootpath / FILE_NAME)))
+"""
+TESTS = """
+import pytest
+
+@pytest.mark.parametrize("case", [0, 1])
+def test_red(case):
+    assert case == 0
+
+def test_green():
+    pass
+
+def test_other_red():
+    assert False
+"""
+RED, GREEN, OTHER = "test_it.py::test_red", "test_it.py::test_green", "test_it.py::test_other_red"
+
+
+def run(folder, lines, *arguments):
+    """Exit status and output of a run of `TESTS` with that list."""
+    (folder / "conftest.py").write_text(CONFTEST)
+    (folder / "test_it.py").write_text(TESTS)
+    (folder / "pytest.ini").write_text("[pytest]\n")
+    (folder / "KNOWN-RED.txt").write_text("".join(f"{line}\n" for line in lines))
+    command = [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", *arguments]
+    environment = {"PYTHONPATH": str(ROOT), "PATH": "/usr/bin:/bin"}
+    done = subprocess.run(command, cwd=folder, env=environment, capture_output=True, text=True)
+    return done.returncode, done.stdout + done.stderr
+
+
+def line(test):
+    return f"{test} | the cause | issue 0"
+
+
+def test_listed_failures_are_passed_over_and_printed(tmp_path):
+    status, output = run(tmp_path, [line(RED), line(OTHER)])
+    assert status == 0
+    assert f"{RED}: 1 of 2 cases passed over; cause: the cause; issue: issue 0" in output
+    assert f"{OTHER}: 1 of 1 cases passed over" in output
+
+
+def test_a_failure_that_is_not_listed_fails_the_run(tmp_path):
+    status, output = run(tmp_path, [line(RED)])
+    assert status == 1
+    assert f"FAILED {OTHER}" in output
+
+
+def test_a_listed_test_that_passes_fails_the_run(tmp_path):
+    status, output = run(tmp_path, [line(RED), line(OTHER), line(GREEN)])
+    assert status == 1
+    assert f"{GREEN} passes and is to be taken off the list" in output
+
+
+def test_a_listed_test_that_does_not_exist_fails_a_run_of_all(tmp_path):
+    status, output = run(tmp_path, [line(RED), line(OTHER), line("test_it.py::test_gone")])
+    assert status == 1
+    assert "test_it.py::test_gone does not exist" in output
+
+
+@pytest.mark.parametrize(
+    "lines", [[line(f"test_it.py::test_{at}") for at in range(4)], ["test_it.py::test_red"], [f"{RED} | | 3"]]
+)
+def test_a_list_that_is_too_long_or_cannot_be_read_is_refused(tmp_path, lines):
+    status, output = run(tmp_path, lines)
+    assert status == 4
+    assert "KNOWN-RED.txt: " in output
--- /dev/null
+++ b/tests/test_liveness.py
@@ -0,0 +1,121 @@
+"""The service goes on: whatever the first minute is like, whatever breaks once, whatever the cloud lacks."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from spindleglade.clock import seconds
+from spindleglade.fleet.manager import FleetManager
+from spindleglade.leader import Leader
+from spindleglade.workers.cluster import Cluster
+from tests.deployment import Deployment
+from tests.faults import FAULTS, do
+from tests.liveness import LEADS_WITHIN, STARTS_WITHIN
+from tests.world import World
+
+# Machines that the cloud has: none, one, few and tens.
+FLEET_SIZES = (0, 1, 3, 12, 30)
+# The faults strike within so many seconds of the first process's start.
+FIRST_FAULTS_S = 8.0
+
+
+class Broken(Exception):
+    """Raised on purpose."""
+
+
+def breaks_once(method: Callable[..., Any], calls_before: int) -> Callable[..., Any]:
+    """The method, but one call of it raises."""
+    calls = 0
+
+    def wrapped(*args: Any, **kwargs: Any) -> Any:
+        nonlocal calls
+        calls += 1
+        if calls == calls_before + 1:
+            raise Broken
+        return method(*args, **kwargs)
+
+    return wrapped
+
+
+LOOPS = {
+    "recorder": (Cluster, "collect"),
+    "renting": (FleetManager, "_rent"),
+    "giving back": (FleetManager, "_give_back"),
+    "list of machines": (FleetManager, "_listed"),
+    "upkeep": (Cluster, "learn_kinds"),
+    "planning": (Cluster, "snapshot"),
+    "applying a plan": (Cluster, "apply"),
+    "taking over": (Leader, "_read"),
+}
+
+
+@pytest.mark.parametrize("calls_before", [0, 2])
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_loop_that_breaks_in_one_pass_goes_on(loop, calls_before, monkeypatch):
+    """The recorder and the fleet's loops used to end for good, under a leader that kept its lease."""
+    owner, name = LOOPS[loop]
+    monkeypatch.setattr(owner, name, breaks_once(getattr(owner, name), calls_before))
+    world = World(31)
+    world.expected_errors = ("",)
+    world.run(seconds(5))
+    jobs = [world.submit(number, threads=2, run_s=2.0) for number in range(3)]
+    for job in jobs:
+        world.watch(job)
+    world.run(seconds(40))
+    assert {world.told[job] for job in jobs} == {"done"}
+    # And what comes later is served as well, by machines that have to be rented anew.
+    world.run(seconds(30))
+    late = world.submit(9, threads=2, run_s=2.0)
+    world.watch(late)
+    world.run(seconds(40))
+    assert world.told[late] == "done"
+
+
+GUARANTEED = {"name": "red", "cpus": 8.0, "cpus_max": 24.0}
+GUEST = {"name": "red", "cpus": 0.0, "cpus_max": 0.0}
+
+
+@pytest.mark.parametrize("team", [GUARANTEED, GUEST], ids=["guaranteed", "guest"])
+def test_work_starts_though_no_spot_machine_is_to_be_had(team):
+    """Ordinary machines were there, but were rented only after ten minutes, longer than a day lasts, and for
+    a guest's work never."""
+    world = World(32, deployment=Deployment(teams=(team,)))
+    world.cloud.no_spot = True
+    world.run(seconds(2))
+    job = world.submit(1, threads=2, run_s=2.0, windfall=True, urgency="normal")
+    world.watch(job)
+    world.run(STARTS_WITHIN)
+    assert world.cloud.refused
+    assert world.told[job] == "done"
+
+
+@settings(max_examples=60, phases=[Phase.explicit, Phase.generate])
+@given(
+    st.integers(0, 1 << 30),
+    st.sampled_from(FLEET_SIZES),
+    FAULTS,
+    st.lists(st.floats(0, FIRST_FAULTS_S), min_size=3, max_size=3),
+    st.booleans(),
+)
+def test_faults_in_the_first_seconds_leave_a_service_that_starts_work(seed, size, faults, starts, no_spot):
+    """Controllers begin in any order, some late, as faults strike; `LivenessRules` must hold after them."""
+
+    def begin(world: World) -> None:
+        for index, at in enumerate(starts):
+            world.clock.later(seconds(at), world.start_once, index)
+
+    world = World(seed, deployment=Deployment(capacity=size), begin=begin)
+    world.cloud.no_spot = no_spot
+    latest = max(at for _, at, _, _, _ in faults)
+    for kind, at, length, hold, pick in faults:
+        world.clock.later(seconds(at * FIRST_FAULTS_S / latest), do, world, kind, length, hold, pick)
+    for number in range(3):
+        world.clock.later(seconds(2.0 * number), world.submit, number)
+    world.run(seconds(FIRST_FAULTS_S + 1))
+    world.run(max(world.calm - world.clock.now(), seconds(0)) + LEADS_WITHIN + STARTS_WITHIN)
+    assert world.accepted or world.asked_abort
+    if size and not world.asked_abort:
+        assert world.started
