A leader's loops survive what breaks in one pass; one that stalls makes way

Recorder, fleet manager and list of machines ended for good at their first unexpected error, while their leader kept its lease: no start recorded or no machine rented for as long as it led. All loops of a leader now run in Loop, which logs the error with its trace once, pauses and goes on. A batch that breaks the recorder is tried item by item, and what breaks alone is set aside. A loop that broke six times in a row, or has not come back for 30 s, or records that cannot be read for 30 s, make the leader resign if a sibling reaches the store, at most after 60 s, doubled each time.

--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -40,8 +40,10 @@
 
 # How often a node on its own tells the leader, through the store, whose leases it renews.
 VOUCH_S = 1.5
-# If the machines hear no node, leadership must not go round in circles.
+# Leadership must not go round in circles where all nodes fare alike: how soon one resigns once more. It is
+# doubled each time that a leader got nothing done, up to the second figure.
 RESIGN_AGAIN = timedelta(seconds=60)
+LONGEST_RESIGN_AGAIN = timedelta(minutes=16)
 # How often idle connections are looked for.
 TIDY_S = 2.0
 
@@ -155,7 +157,8 @@
         )
         self._stand_back = timedelta(0)
         # When it last made room because the machines did not hear it.
-        self._resigned = -RESIGN_AGAIN
+        self._stall_again = RESIGN_AGAIN
+        self._resigned = -LONGEST_RESIGN_AGAIN
         # How long after it was shown to lead by the store a node may take itself for the leader.
         self._proof_lasts = seconds(settings.store.confirm_s + settings.leadership.lease_s)
         # When this process last ran late.
@@ -315,18 +318,19 @@
                 log.info("cut off from the store and all siblings")
                 self.election.step_down("cut off from the store and all siblings")
             leader = self.leader
-            if leader is None or not leader.active or not self._platform.siblings:
+            if leader is None or not self._platform.siblings:
                 continue
-            if (
-                leader.unheard
-                and any(self._serving(link) for link in self.links.links)
-                and self._clock.now() - self._resigned > RESIGN_AGAIN
-            ):
+            if leader.stalled is not None:
+                if await self._make_way(f"stalled: {leader.stalled}", patience * 2, self._stall_again):
+                    self._stall_again = min(self._stall_again * 2, LONGEST_RESIGN_AGAIN)
+                continue
+            if not leader.active:
+                continue
+            if leader.unheard:
                 # What it sent straight to them may arrive once the cut is over; the next leader's token is
                 # higher by then, and a start that never came is given out again.
-                self._resigned = self._clock.now()
-                self._stand_back = self._resigned + patience * 2
-                await self.election.resign("machines do not hear it, though they are heard")
+                reason = "machines do not hear it, though they are heard"
+                await self._make_way(reason, patience * 2, RESIGN_AGAIN)
                 continue
             with leader.cluster.lock:
                 machines = any(machine.address for machine in leader.cluster.machines.values())
@@ -335,6 +339,18 @@
                 self._stand_back = self._clock.now() + patience * 2
                 await self.election.resign("hears neither machines nor siblings")
 
+    async def _make_way(self, reason: str, stand_back: timedelta, again: timedelta) -> bool:
+        """Resigns for a sibling that may do better, if one reaches the store and the last time was longer ago
+        than `again`. Returns whether it did."""
+        now = self._clock.now()
+        serving = any(self._serving(link) for link in self.links.links)
+        if not serving or now - self._resigned <= again:
+            return False
+        self._resigned = now
+        self._stand_back = now + stand_back
+        await self.election.resign(reason)
+        return True
+
     def _lead(self, report: Report) -> ReportAnswer | None:
         return self.leader.report(report) if self.leader is not None else None
 
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 
 from spindleglade.backfill.snapshot import Freeing, Plan, Unmet, claimable_cpus, idle_time
 from spindleglade.clock import ZERO, Clock, seconds, sleep
@@ -23,6 +24,7 @@
 )
 from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, Rooms, rentals, soon_free
 from spindleglade.fleet.messages import Listed, MachineType, Rent
+from spindleglade.loop import Loop
 from spindleglade.settings.operator import FleetSettings, WorkerSettings
 from spindleglade.tasks import spawn
 from spindleglade.web import Crowded, NoAnswer
@@ -33,6 +35,8 @@
 
 # Fewer machines that do not answer say nothing of this node.
 FEW = 3
+# Between two passes of renting and giving back.
+MANAGE_EVERY = seconds(0.5)
 
 
 @dataclass(slots=True)
@@ -105,13 +109,26 @@
         # siblings: it is cut off from them, and another would lead better.
         self.unheard = False
         self._stopped = False
+        self._loops = (
+            Loop(clock, "machine list", self._read_list, partial(sleep, clock, seconds(settings.list_s))),
+            Loop(clock, "fleet", self._manage, partial(sleep, clock, MANAGE_EVERY), waits_first=True),
+        )
 
     def start(self) -> None:
-        spawn(self._watch_list(), "watch list")
-        spawn(self._run(), "fleet loop")
+        """Begins to watch the list of machines, to rent and to give back."""
+        for loop in self._loops:
+            loop.start()
 
     def stop(self) -> None:
+        """Nothing is asked of the cloud any more."""
         self._stopped = True
+        for loop in self._loops:
+            loop.stop()
+
+    @property
+    def stalled(self) -> str | None:
+        """Why machines are not managed, if so."""
+        return next((loop.stalled for loop in self._loops if loop.stalled), None)
 
     @property
     def ready(self) -> bool:
@@ -136,21 +153,17 @@
             if not idle_time(entry.job, self._cluster.teams)
         }
 
-    async def _run(self) -> None:
-        while not self._stopped:
-            await sleep(self._clock, seconds(0.5))
-            if self._stopped:
-                return
-            now = self._clock.now()
-            self._arrived()
-            self.unheard = False
-            if not self._proven():
-                # The cloud knows no tokens and does what anybody asks. A leader that had stood still for
-                # 20 s, and did not know of its successor yet, once gave back every machine as silent.
-                continue
-            self._probe(now)
-            self._give_back(now)
-            self._rent(now)
+    async def _manage(self) -> None:
+        now = self._clock.now()
+        self._arrived()
+        self.unheard = False
+        if not self._proven():
+            # The cloud knows no tokens and does what anybody asks. A leader that had stood still for
+            # 20 s, and did not know of its successor yet, once gave back every machine as silent.
+            return
+        self._probe(now)
+        self._give_back(now)
+        self._rent(now)
 
     def _arrived(self) -> None:
         with self._cluster.lock:
@@ -451,13 +464,11 @@
 
     # The list.
 
-    async def _watch_list(self) -> None:
-        while not self._stopped:
-            try:
-                self._listed(await self._cloud.machines())
-            except (Refused, Silent) as error:
-                log.info("machines not listed reason=%s", error)
-            await sleep(self._clock, seconds(self._settings.list_s))
+    async def _read_list(self) -> None:
+        try:
+            self._listed(await self._cloud.machines())
+        except (Refused, Silent) as error:
+            log.info("machines not listed reason=%s", error)
 
     def _listed(self, listed: list[Listed]) -> None:
         now = self._clock.now()
--- a/spindleglade/leader.py
+++ b/spindleglade/leader.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -17,6 +18,7 @@
 from spindleglade.fleet.manager import FleetManager
 from spindleglade.fleet.types import TypeBook
 from spindleglade.leadership.election import LEADER, Term
+from spindleglade.loop import Loop
 from spindleglade.settings import OperatorSettings, Platform
 from spindleglade.store.client import (
     Committed,
@@ -60,6 +62,11 @@
 URGENCY_DELAY = seconds(0.2)
 # Share of the time that this may take.
 URGENCY_SHARE = 0.05
+# Between two passes of the upkeep, and between two records of the teams' histories.
+UPKEEP_EVERY = seconds(1)
+HISTORIES_EVERY = seconds(10)
+# A leader that has not read all records after so long leaves it to a sibling.
+LONGEST_TAKEOVER = seconds(30)
 
 
 class Leader:
@@ -97,6 +104,7 @@
         self._ended = False
         # Everything has been read: from here on it orders.
         self.active = False
+        self._elected = clock.now()
         # Changes that came while everything was being read.
         self._early: list[tuple[JobRecord, int]] | None = []
         self._urgency_timer: Any = None
@@ -124,6 +132,8 @@
             self._recorder.stop()
             self._dispatcher.stop()
             self._fleet.stop()
+            self._upkeep.stop()
+            self._histories.stop()
 
     async def _begin(self) -> None:
         while not self._ended:
@@ -201,7 +211,16 @@
             self._compute,
             seconds(self._settings.backfill.round_s),
             self._planned,
-            self._deposed,
+        )
+        self._upkeep = Loop(
+            self._clock, "upkeep", self._keep, partial(sleep, self._clock, UPKEEP_EVERY), waits_first=True
+        )
+        self._histories = Loop(
+            self._clock,
+            "histories",
+            self._record_history,
+            partial(sleep, self._clock, HISTORIES_EVERY),
+            waits_first=True,
         )
         self.active = True
         log.info(
@@ -214,7 +233,8 @@
         self._recorder.start()
         self._rounds.start()
         self._fleet.start()
-        spawn(self._keep(), "leader's upkeep", self._deposed)
+        self._upkeep.start()
+        self._histories.start()
 
     def _read(self, cluster: Cluster, entries: list[Entry], now: timedelta) -> dict[str, int]:
         """Takes in what the store holds; returns the marks of the chunks. A record that cannot be read must
@@ -331,6 +351,16 @@
             age = ZERO if released is None else max(ZERO, self._clock.utc() - released)
             self.cluster.release(job, self._clock.now(), age)
 
+    @property
+    def stalled(self) -> str | None:
+        """Why this leader gets nothing done, if so: its records cannot be read, or one of its loops breaks
+        again and again or does not come back."""
+        if self.active:
+            return self._recorder.stalled or self._rounds.stalled or self._fleet.stalled
+        if self._clock.now() - self._elected > LONGEST_TAKEOVER:
+            return "the records could not be read"
+        return None
+
     @property
     def unheard(self) -> bool:
         return self.active and self._fleet.unheard
@@ -371,18 +401,10 @@
             self._dispatcher.send()
 
     async def _keep(self) -> None:
-        """Regular work: rounds even if nothing happens, and the histories on record."""
-        at = self._clock.now()
-        while self.active:
-            await sleep(self._clock, seconds(1))
-            if not self.active:
-                return
-            self.cluster.learn_kinds(self._types.kinds())
-            self.cluster.ordinary_first = self._fleet.ready
-            self._changed()
-            if self._clock.now() - at >= timedelta(seconds=10):
-                at = self._clock.now()
-                await self._record_history()
+        """Rounds even if nothing happens."""
+        self.cluster.learn_kinds(self._types.kinds())
+        self.cluster.ordinary_first = self._fleet.ready
+        self._changed()
 
     async def _record_history(self) -> None:
         with self.cluster.lock:
--- /dev/null
+++ b/spindleglade/test_loop.py
@@ -0,0 +1,84 @@
+"""Loops that survive what breaks in a pass."""
+
+import logging
+
+import pytest
+
+from spindleglade.clock import ZERO, ManualClock, seconds, sleep
+from spindleglade.loop import FAILURES_TO_STALL, LONGEST_PASS, LONGEST_PAUSE, Loop
+
+EVERY = seconds(1)
+
+
+class Passes:
+    """Counts passes; each does what `does` says."""
+
+    def __init__(self, does, waits_first=False):
+        self.clock, self.times, self._does = ManualClock(), [], does
+        self.loop = Loop(self.clock, "counting", self._one, lambda: sleep(self.clock, EVERY), waits_first)
+        self.loop.start()
+
+    async def _one(self):
+        self.times.append(self.clock.now())
+        await self._does(len(self.times))
+
+
+async def nothing(number):
+    pass
+
+
+async def breaks(number):
+    raise ValueError("always")
+
+
+def test_passes_follow_one_another_until_the_loop_is_stopped():
+    passes = Passes(nothing)
+    passes.clock.advance(seconds(2.5))
+    passes.loop.stop()
+    passes.clock.advance(seconds(9))
+    assert passes.times == [ZERO, EVERY, EVERY * 2]
+    assert passes.loop.stalled is None
+
+
+def test_a_loop_may_wait_before_its_first_pass():
+    passes = Passes(nothing, waits_first=True)
+    passes.clock.advance(seconds(1))
+    assert passes.times == [EVERY]
+
+
+def test_a_pass_that_breaks_is_logged_with_its_trace_and_the_loop_goes_on(caplog):
+    async def breaks_twice(number):
+        if number <= 2:
+            raise ValueError("once or twice")
+
+    passes = Passes(breaks_twice)
+    passes.clock.advance(seconds(5))
+    assert len(passes.times) >= 4
+    assert passes.loop.stalled is None
+    assert [bool(record.exc_info) for record in caplog.records] == [True, False]
+    assert all(record.levelno == logging.ERROR for record in caplog.records)
+
+
+def test_a_loop_that_only_breaks_has_stalled_and_is_tried_less_often():
+    passes = Passes(breaks)
+    passes.clock.advance(seconds(60))
+    assert len(passes.times) > FAILURES_TO_STALL
+    assert passes.times[-1] - passes.times[-2] == LONGEST_PAUSE
+    assert "always" in passes.loop.stalled
+
+
+def test_a_loop_that_works_again_has_not_stalled():
+    async def breaks_at_first(number):
+        if number <= FAILURES_TO_STALL:
+            raise ValueError("at first")
+
+    passes = Passes(breaks_at_first)
+    passes.clock.advance(seconds(60))
+    assert passes.loop.stalled is None
+
+
+@pytest.mark.parametrize("lasts, stalled", [(LONGEST_PASS - seconds(1), False), (seconds(1000), True)])
+def test_a_pass_that_does_not_come_back_has_stalled(lasts, stalled):
+    passes = Passes(lambda number: sleep(passes.clock, lasts), waits_first=True)
+    passes.clock.advance(EVERY + LONGEST_PASS + seconds(0.5))
+    assert (passes.loop.stalled is not None) == stalled
--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -11,8 +11,9 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from spindleglade.clock import Clock, sleep
+from spindleglade.clock import ZERO, Clock, seconds, sleep
 from spindleglade.leadership.election import LEADER, Term
+from spindleglade.loop import Loop
 from spindleglade.store.client import (
     Committed,
     Condition,
@@ -27,7 +28,6 @@
     raw,
 )
 from spindleglade.submissions.records import JOBS, JobRecord, job_key
-from spindleglade.tasks import spawn
 from spindleglade.workers.attempts import Batch
 from spindleglade.workers.cluster import Cluster
 
@@ -35,6 +35,9 @@
 
 # Of the 64 KiB a transaction may have, what its values may take; the rest is for keys and conditions.
 MOST_BYTES = 40 * 1024
+# How long what nobody waits for gathers, and how soon a write that failed is tried again.
+GATHER_FOR = seconds(0.1)
+RETRY_AFTER = seconds(0.3)
 
 
 class Recorder:
@@ -61,6 +64,9 @@
         self._deposed = deposed
         self._learn = learn
         self._stopped = False
+        self._loop = Loop(clock, "recorder", self._write_next, self._until_next)
+        # How long the loop waits before it looks again; None: until something has changed.
+        self._pause: timedelta | None = ZERO
         self._idle: Deferred[None] | None = None
         # Conditions cost too: four times the changes are allowed, one is the leader key, three a part.
         self._most = max(1, client.limits.operations - 1)
@@ -72,62 +78,101 @@
         self._singly = 0
 
     def start(self) -> None:
-        spawn(self._run(), "recorder")
+        """Begins to write what has changed."""
+        self._loop.start()
 
     def stop(self) -> None:
+        """Nothing more is written."""
         self._stopped = True
+        self._loop.stop()
         self.wake()
 
+    @property
+    def stalled(self) -> str | None:
+        """Why nothing is written, if so."""
+        return self._loop.stalled
+
     def wake(self) -> None:
+        """Something has changed."""
         if self._idle is not None:
             idle, self._idle = self._idle, None
             idle.callback(None)
 
-    async def _run(self) -> None:
-        while not self._stopped:
-            most = 1 if self._singly else self._most
-            self._limit = self._client.value_bytes
-            batch = self._cluster.collect(most, self._marks, self._client.spare_writes, self._limit)
-            if batch.size == 0:
-                for job in batch.over:
-                    self._cluster.forget(job)
-                if self._cluster.dirty:
-                    # Only what nobody waits for: it gathers until there are changes to spare.
-                    await sleep(self._clock, timedelta(seconds=0.1))
-                elif not batch.over:
-                    self._idle = Deferred()
-                    await self._idle
-                continue
-            self._fit(batch)
-            self._singly = max(0, self._singly - 1)
-            if _contents(batch) == self._refused:
-                self._too_large(batch, "refused before")
-                continue
-            try:
-                result = await self._write(batch)
-            except TooLarge as error:
-                self._too_large(batch, str(error))
-                continue
-            except (Unavailable, Unknown) as error:
-                log.info("record delayed size=%d reason=%s", batch.size, error)
-                if isinstance(error, Unknown):
-                    for write in batch.chunks:
-                        # It may be there. Else that of a job aborted meanwhile would be left in the store.
-                        self._marks.setdefault(write.key, 0)
-                self._cluster.put_back(batch)
-                await sleep(self._clock, timedelta(seconds=0.3))
-                continue
-            if self._stopped:
-                return
-            if isinstance(result, Committed):
-                self._apply(batch, result.turn)
-                self._committed()
-            elif LEADER in result.failed:
-                self._deposed("a record was refused")
-                return
-            else:
-                self._cluster.put_back(batch)
-                await self._reread(result)
+    async def _until_next(self) -> None:
+        if self._pause is None:
+            self._idle = Deferred()
+            await self._idle
+        elif self._pause:
+            await sleep(self._clock, self._pause)
+
+    async def _write_next(self) -> None:
+        """Writes one batch; what it could not write is put back."""
+        self._pause = ZERO
+        batch = self._collect()
+        if batch.size == 0:
+            self._forget_over(batch)
+            return
+        self._fit(batch)
+        self._singly = max(0, self._singly - 1)
+        if _contents(batch) == self._refused:
+            self._too_large(batch, "refused before")
+            return
+        try:
+            result = await self._write(batch)
+        except TooLarge as error:
+            self._too_large(batch, str(error))
+        except (Unavailable, Unknown) as error:
+            self._not_written(batch, error)
+        except Exception:
+            self._set_aside_if_alone(batch)
+            self._cluster.put_back(batch)
+            raise
+        else:
+            if not self._stopped:
+                await self._written(batch, result)
+
+    def _collect(self) -> Batch:
+        most = 1 if self._singly else self._most
+        self._limit = self._client.value_bytes
+        return self._cluster.collect(most, self._marks, self._client.spare_writes, self._limit)
+
+    def _forget_over(self, batch: Batch) -> None:
+        """Nothing is to be written now."""
+        for job in batch.over:
+            self._cluster.forget(job)
+        if self._cluster.dirty:
+            # Only what nobody waits for: it gathers until there are changes to spare.
+            self._pause = GATHER_FOR
+        elif not batch.over:
+            self._pause = None
+
+    def _not_written(self, batch: Batch, error: Exception) -> None:
+        log.info("record delayed size=%d reason=%s", batch.size, error)
+        if isinstance(error, Unknown):
+            for write in batch.chunks:
+                # It may be there. Else that of a job aborted meanwhile would be left in the store.
+                self._marks.setdefault(write.key, 0)
+        self._cluster.put_back(batch)
+        self._pause = RETRY_AFTER
+
+    async def _written(self, batch: Batch, result: Committed | Refused) -> None:
+        if isinstance(result, Committed):
+            self._apply(batch, result.turn)
+            self._committed()
+        elif LEADER in result.failed:
+            self._deposed("a record was refused")
+            self._loop.stop()
+        else:
+            self._cluster.put_back(batch)
+            await self._reread(result)
+
+    def _set_aside_if_alone(self, batch: Batch) -> None:
+        """Writing broke: each item is tried alone from now on, and one that breaks alone waits until it
+        changes, so that the others are written."""
+        if batch.size > 1:
+            self._singly = batch.size
+        else:
+            self._cluster.set_aside_alone(batch)
 
     def _fit(self, batch: Batch) -> None:
         """Puts back what would make the transaction larger than the service takes: eleven full chunks of a
--- a/spindleglade/workers/test_recorder.py
+++ b/spindleglade/workers/test_recorder.py
@@ -457,3 +457,30 @@
 
 TestRecordsStory = RecordsStory.TestCase
 TestRecordsStory.settings = settings(max_examples=300, stateful_step_count=100)
+
+
+def test_what_breaks_the_writing_is_set_aside_and_the_rest_is_written():
+    """One batch that broke the recorder used to end it, and with it every start of every job."""
+
+    class Breaks(Store):
+        async def txn(self, when, writes, urgent=False):
+            if any(condition.key == job_key("job-1") for condition in when):
+                raise ZeroDivisionError
+            return await super().txn(when, writes, urgent)
+
+    store, clock, cluster = Breaks(), ManualClock(), make_cluster()
+    cluster.teams = {}
+    starts = []
+    for number in (1, 2, 3):
+        name = f"job-{number}"
+        cluster.take_job(JobRecord("open", msgspec.structs.replace(spec(tasks=1), id=name), 256), 1)
+        store.marks[job_key(name)] = 1
+        starts.append(Start(name, 0, "n-1"))
+    cluster.report(Report("n-1", "x:1", "m", "z", True, 1, 1, TOKEN, []), clock.now(), True)
+    cluster.apply(Plan(starts=starts), clock.now())
+    recorder = Recorder(cluster, store, clock, Term(TOKEN, 5, 1), {}, lambda: None, lambda reason: None)
+    recorder.start()
+    clock.advance(seconds(20))
+    written = {name: job.placed[0].recorded for name, job in cluster.jobs.items()}
+    assert written == {"job-1": False, "job-2": True, "job-3": True}
+    assert recorder.stalled is None
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -119,3 +119,39 @@
     assert world.accepted or world.asked_abort
     if size and not world.asked_abort:
         assert world.started
+
+
+@pytest.mark.parametrize("loop", ["recorder", "renting", "list of machines", "planning"])
+def test_a_leader_one_of_whose_loops_always_breaks_makes_way_for_a_sibling(loop, monkeypatch):
+    """What breaks in one process need not break in the next."""
+    owner, name = LOOPS[loop]
+    method = getattr(owner, name)
+    world = World(34)
+    world.expected_errors = ("loop broke",)
+    world.run(seconds(5))
+    stuck = world.nodes[world.node_names[world.leader()]].leader
+
+    def breaks_here(self, *args, **kwargs):
+        if self is stuck.cluster or self is stuck._fleet:
+            raise Broken
+        return method(self, *args, **kwargs)
+
+    monkeypatch.setattr(owner, name, breaks_here)
+    job = world.submit(1, threads=2, run_s=2.0)
+    world.watch(job)
+    world.run(seconds(60))
+    assert world.told[job] == "done"
+
+
+def test_where_each_leader_breaks_leadership_does_not_go_round_in_circles(monkeypatch):
+    """Each of the three makes way once, then after 60 s, 120 s and 240 s more."""
+    monkeypatch.setattr(Cluster, "snapshot", breaks_always)
+    world = World(35)
+    world.expected_errors = ("loop broke",)
+    world.run(seconds(400))
+    assert 3 < world.counts["leaders"] <= 1 + 3 * 4
+
+
+def breaks_always(*args: Any) -> Any:
+    """Raises whatever it is given."""
+    raise Broken
