--- a/spindleglade/backfill/snapshot.py
+++ b/spindleglade/backfill/snapshot.py
@@ -228,6 +228,8 @@
     job: JobView
     count: int
     guaranteed: bool
+    # Whether ordinary machines may be rented for them though the job may use spot ones.
+    ordinary: bool = False
 
 
 @dataclass(slots=True)
--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -105,12 +105,16 @@
     )
 
 
-def _alike(entry: Unmet, overdue: frozenset[str] | None) -> tuple:
+def _may_use_ordinary(entry: Unmet, overdue: frozenset[str]) -> bool:
+    return not entry.job.spot or entry.ordinary or entry.job.id in overdue
+
+
+def _alike(entry: Unmet, ordinary: bool) -> tuple:
     """Work with the same key is rented for as one: it fits the same machines and counts against the same
     limit. A queue of hundreds of jobs over hundreds of machines, each job by itself, took a third of the
     leader's time."""
     job = entry.job
-    key = (job.team, *job.place(), overdue is not None and job.id in overdue)
+    key = (job.team, *job.place(), ordinary)
     return (*key, job.id) if job.one_zone else key
 
 
@@ -124,24 +128,26 @@
     steady: bool = False,
     overdue: frozenset[str] | None = None,
 ) -> list[tuple[Offer, int]]:
-    """`rooms` is used up."""
+    """`rooms` is used up. Where `overdue` is given, work that may use spot machines gets ordinary ones only
+    if its job is in it or the entry says so; else whatever is cheapest, with `steady` ordinary ones first."""
     wanted: dict[Kind, int] = {}
     by_kind = {offer.kind: offer for offer in offers}
     used = dict(used_cpus)
     asked = 0
-    alike: dict[tuple, tuple[JobView, int]] = {}
+    alike: dict[tuple, tuple[JobView, int, bool]] = {}
     for entry in unmet:
-        key = _alike(entry, overdue)
-        job, count = alike.get(key, (entry.job, 0))
-        alike[key] = (job, count + entry.count)
-    for job, count in alike.values():
+        ordinary = overdue is None or _may_use_ordinary(entry, overdue)
+        key = _alike(entry, ordinary)
+        job, count, _ = alike.get(key, (entry.job, 0, ordinary))
+        alike[key] = (job, count + entry.count, ordinary)
+    for job, count, ordinary in alike.values():
         team = teams.get(job.team)
         if team is None:
             continue
         left = min(count, job.fitting(team.cpus_max - used.get(job.team, 0.0), math.inf))
         took = rooms.take(job, left)
         while took < left and asked < most:
-            offer = _cheapest(job, offers, steady, overdue, wanted)
+            offer = _cheapest(job, offers, steady, ordinary, wanted)
             if offer is None:
                 break
             wanted[offer.kind] = wanted.get(offer.kind, 0) + 1
@@ -156,21 +162,20 @@
     job: JobView,
     offers: list[Offer],
     steady: bool,
-    overdue: frozenset[str] | None,
+    ordinary: bool,
     wanted: dict[Kind, int],
 ) -> Offer | None:
     """The least price for each CPU the job's tasks can use; among equals the smaller machine, which stands
     idle less, then the zone with the fewest machines: a zone that is cut off then takes no more than its
     share of the fleet with it. One that is cut off comes last: it has the fewest machines just when all of
     them have been given up, and a new one there can no more report than they could. `steady`: machines that
-    are not taken back come first whatever they cost. With `overdue`, work that may use spot machines gets
-    ordinary ones only if its job is in it."""
+    are not taken back come first whatever they cost. Without `ordinary` only spot machines are looked at."""
     best, best_score = None, None
     for offer in offers:
         fits = job.fitting(offer.type.cpus, offer.type.gpus, offer.type.memory_gb)
         if fits == 0 or not _suits(job, offer.type.name, offer.zone, offer.spot):
             continue
-        if overdue is not None and job.spot and not offer.spot and job.id not in overdue:
+        if not ordinary and not offer.spot:
             continue
         # Of a machine that the job's shape cannot fill, the rest may serve others: it counts half.
         filled = min(1.0, fits * job.cpus / offer.type.cpus)
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 from functools import partial
 
-from spindleglade.backfill.snapshot import Freeing, Plan, Unmet, claimable_cpus, idle_time
+from spindleglade.backfill.snapshot import Freeing, Plan, Unmet, claimable_cpus
 from spindleglade.clock import ZERO, Clock, seconds, sleep
 from spindleglade.fleet.client import (
     MOST_RELEASED,
@@ -24,6 +24,7 @@
 )
 from spindleglade.fleet.demand import Kind, Offer, Refusals, Room, Rooms, rentals, soon_free
 from spindleglade.fleet.messages import Listed, MachineType, Rent
+from spindleglade.fleet.ordinary import OrdinaryPolicy
 from spindleglade.loop import Loop
 from spindleglade.settings.operator import FleetSettings, WorkerSettings
 from spindleglade.tasks import spawn
@@ -76,8 +77,7 @@
         self._settings = settings
         # How soon an aim of the deployment wants work to start.
         self._soonest = soonest
-        # Since when each job has had tasks that found no room.
-        self._waiting_since: dict[str, timedelta] = {}
+        self._ordinary = OrdinaryPolicy(settings)
         # A machine that has been silent for so long has missed reports.
         self._patience = cluster.rules.report * 2 + seconds(0.5)
         self._silence = cluster.rules.lease + seconds(workers.silence_margin_s)
@@ -145,13 +145,7 @@
         self._unmet = plan.unmet
         self._spare, self._used = plan.spare_cpus, plan.used_cpus
         self._freeing = plan.freeing
-        now = self._clock.now()
-        self._waiting_since = {
-            entry.job.id: self._waiting_since.get(entry.job.id, now)
-            for entry in plan.unmet
-            # Ordinary machines cost several times as much; that is not for work which only fills idle ones.
-            if not idle_time(entry.job, self._cluster.teams)
-        }
+        self._ordinary.waits(plan.unmet, self._cluster.teams, self._clock.now())
 
     async def _manage(self) -> None:
         now = self._clock.now()
@@ -271,14 +265,14 @@
         if not self.ready:
             soon_free(rooms, self._freeing(), {entry.name: entry.boot_s for entry in types})
         wanted = rentals(
-            self._unmet,
+            self._allowed(now),
             rooms,
             self._offers(now),
             self._cluster.teams,
             used,
             MOST_RENTED,
             steady=self.ready,
-            overdue=self._overdue(now),
+            overdue=None if self.ready else frozenset(),
         )
         if self.ready and not wanted:
             wanted = self._hold(now)
@@ -315,14 +309,16 @@
         )
         return [(offer, min(MOST_RENTED, math.ceil(missing / offer.type.cpus)))]
 
-    def _overdue(self, now: timedelta) -> frozenset[str] | None:
-        """Ordinary machines cost several times as much, so where money counts, work that could use spot ones
-        gets them only once it has waited long. Told by the job: while spot machines are all in use there is
-        always some demand, and renting for that would buy little at a high price."""
+    def _allowed(self, now: timedelta) -> list[Unmet]:
+        """What waits for room, with what of it may have ordinary machines; where readiness counts, all."""
         if self.ready:
-            return None
-        wait = seconds(self._settings.ordinary_wait_s)
-        return frozenset(job for job, since in self._waiting_since.items() if now - since >= wait)
+            return self._unmet
+        booting = (boot for boot in self._booting.values() if not self._lost(boot, now))
+        with self._cluster.lock:
+            spot_there = any(machine.spot for machine in self._cluster.machines.values())
+        # Requests under way do not count: one kind after the other is asked for, and all may be refused.
+        spot_there = spot_there or any(boot.spot for boot in booting)
+        return self._ordinary.allow(self._unmet, self._cluster.has_begun, spot_there, now)
 
     async def _ask(self, rent: Rent, kind: MachineType) -> None:
         key: Kind = (rent.type, rent.zone, rent.spot)
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -376,3 +376,13 @@
     clock.advance(seconds(2))
     assert cloud.asked.count("release") == 2
     fleet.stop()
+
+
+def test_only_so_many_ordinary_machines_are_rented_as_the_first_tasks_of_overdue_jobs_fill():
+    ordinary = [offer for offer in OFFERS if not offer.spot]
+    first = Unmet(job("job-1", 8.0), 2, False, ordinary=True)
+    rest = Unmet(job("job-1", 8.0), 6, False)
+    assert rent([first, rest], offers=ordinary, overdue=frozenset()) == [("s", False, 2)]
+    # They are on their way: no more are rented in the next pass.
+    coming = [Room("s", "a", False, 8.0, 0.0, 32.0)] * 2
+    assert rent([first, rest], coming, offers=ordinary, overdue=frozenset()) == []
--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -86,6 +86,8 @@
     # How long a job must have waited before ordinary machines are rented for it though it may use spot ones.
     # For idle-time work none are.
     ordinary_wait_s: Seconds = 600.0
+    # The same while no spot machine is there or on its way, so that work begins at all.
+    no_spot_wait_s: Seconds = 20.0
 
 
 class StoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/spindleglade/workers/cluster.py
+++ b/spindleglade/workers/cluster.py
@@ -24,6 +24,12 @@
 class Cluster(Intake, Recording, Placing):
     """All parts of the cluster state, and what the cloud and the siblings say of machines."""
 
+    def has_begun(self, job_id: str) -> bool:
+        """Whether a task of the job is on a machine, or done."""
+        with self.lock:
+            job = self.jobs.get(job_id)
+            return job is not None and bool(job.placed or job.done)
+
     def machine_gone(self, name: str, reason: str) -> None:
         """The cloud has said that the machine and all on it are gone."""
         with self.lock:
