Logs say why nothing starts; sends, releases and catch-ups survive what breaks

No log told why a round started nothing, why starts were withheld, or what catch-ups came to. Now: reasons by job and by machine at most once in 5 s while work waits and nothing starts, what keeps machines from being rented, when starts and renewals begin and cease to be withheld, the first failing catch-up and the end of the failures, a watch that is interrupted before all is read. Three more paths of the same class: orders whose sending breaks counted as under way for ever, machines whose release broke were never given back, a catch-up that broke kept every later one from beginning. Each has a test.

--- a/spindleglade/fleet/demand.py
+++ b/spindleglade/fleet/demand.py
@@ -218,3 +218,7 @@
     def open(self, kind: Kind, now: timedelta) -> bool:
         pause = self._pauses.get(kind)
         return pause is None or now >= pause.until
+
+    def paused(self, now: timedelta) -> int:
+        """How many kinds are left alone now."""
+        return sum(now < pause.until for pause in self._pauses.values())
--- a/spindleglade/fleet/manager.py
+++ b/spindleglade/fleet/manager.py
@@ -38,6 +38,8 @@
 FEW = 3
 # Between two passes of renting and giving back.
 MANAGE_EVERY = seconds(0.5)
+# How soon a release that failed is tried again.
+RELEASE_AGAIN_AFTER = seconds(0.7)
 
 
 @dataclass(slots=True)
@@ -130,6 +132,15 @@
         """Why machines are not managed, if so."""
         return next((loop.stalled for loop in self._loops if loop.stalled), None)
 
+    @property
+    def summary(self) -> str:
+        """What is on its way and what keeps machines from being rented, for the log."""
+        paused = self._refusals.paused(self._clock.now())
+        return (
+            f"machines_booting={len(self._booting)} rentals_under_way={len(self._asking)} "
+            f"kinds_refused={paused} term_proven={self._proven()}"
+        )
+
     @property
     def ready(self) -> bool:
         """Whether work has to start sooner than a machine boots, so that machines must stand ready. The
@@ -448,7 +459,12 @@
                 await self._cloud.release(list(names), self._proven)
             except (Refused, Silent, Withheld) as error:
                 log.info("release delayed machines=%s reason=%s", ",".join(names), error)
-                await sleep(self._clock, seconds(0.7))
+                await sleep(self._clock, RELEASE_AGAIN_AFTER)
+                continue
+            except Exception:
+                # Given up, the machines would neither be used nor given back for as long as this node leads.
+                log.exception("release broke machines=%s", ",".join(names))
+                await sleep(self._clock, RELEASE_AGAIN_AFTER)
                 continue
             for name, reason in names.items():
                 self._cluster.machine_gone(name, reason)
--- a/spindleglade/fleet/test_fleet.py
+++ b/spindleglade/fleet/test_fleet.py
@@ -386,3 +386,26 @@
     # They are on their way: no more are rented in the next pass.
     coming = [Room("s", "a", False, 8.0, 0.0, 32.0)] * 2
     assert rent([first, rest], coming, offers=ordinary, overdue=frozenset()) == []
+
+
+def test_a_release_that_breaks_is_tried_again():
+    """Its machines were neither used nor given back for as long as this node led."""
+
+    class BreaksOnce(RecordingCloud):
+        async def release(self, names, allowed):
+            self.asked.append(names)
+            if len(self.asked) == 1:
+                raise ValueError("once")
+
+        async def machines(self):
+            return []
+
+    clock, cloud = ManualClock(), BreaksOnce()
+    fleet = manager(None, True, cloud, clock)
+    fleet._cluster.machines["n-1"] = Machine("n-1", "", "s", "a", True, heard=seconds(0))
+    clock.advance(seconds(60))
+    fleet.start()
+    clock.advance(seconds(3))
+    fleet.stop()
+    assert cloud.asked == [["n-1"], ["n-1"]]
+    assert "n-1" in fleet._cluster.gone
--- a/spindleglade/leader.py
+++ b/spindleglade/leader.py
@@ -48,6 +48,7 @@
 )
 from spindleglade.submissions.views import JobViews
 from spindleglade.tasks import spawn
+from spindleglade.throttle import Throttle
 from spindleglade.web import Turns
 from spindleglade.workers.attempts import Deposed, Rules
 from spindleglade.workers.cancellation_bound import CancellationBound
@@ -65,6 +66,8 @@
 # Between two passes of the upkeep, and between two records of the teams' histories.
 UPKEEP_EVERY = seconds(1)
 HISTORIES_EVERY = seconds(10)
+# How often the log says why nothing starts.
+STANDSTILL_LOGGED_EVERY = seconds(5)
 # A leader that has not read all records after so long leaves it to a sibling.
 LONGEST_TAKEOVER = seconds(30)
 
@@ -105,6 +108,9 @@
         # Everything has been read: from here on it orders.
         self.active = False
         self._elected = clock.now()
+        self._standstill_log = Throttle(clock, STANDSTILL_LOGGED_EVERY)
+        # Whether starts and renewals were allowed when this was last looked at.
+        self._bound_held = True
         # Changes that came while everything was being read.
         self._early: list[tuple[JobRecord, int]] | None = []
         self._urgency_timer: Any = None
@@ -402,10 +408,32 @@
 
     async def _keep(self) -> None:
         """Rounds even if nothing happens."""
+        self._log_standstill()
+        self._log_bound()
         self.cluster.learn_kinds(self._types.kinds())
         self.cluster.ordinary_first = self._fleet.ready
         self._changed()
 
+    def _log_standstill(self) -> None:
+        """Says why nothing starts, while work waits and nothing has started for a while."""
+        now = self._clock.now()
+        if now - self.cluster.latest_start < STANDSTILL_LOGGED_EVERY or not self._standstill_log.allows():
+            return
+        standstill = self.cluster.standstill(now)
+        if standstill is not None:
+            idle_s = (now - self.cluster.latest_start).total_seconds()
+            log.info("nothing started for_s=%.0f %s %s", idle_s, standstill, self._fleet.summary)
+
+    def _log_bound(self) -> None:
+        """Says when starts and renewals begin and cease to be withheld."""
+        holds = self._bound.holds
+        if holds != self._bound_held:
+            self._bound_held = holds
+            if holds:
+                log.info("starts and renewals allowed token=%d", self.term.token)
+            else:
+                log.info("starts and renewals withheld reason=no recent proof of knowing all cancellations")
+
     async def _record_history(self) -> None:
         with self.cluster.lock:
             teams, self.cluster.learned = self.cluster.learned, set()
--- a/spindleglade/store/replica.py
+++ b/spindleglade/store/replica.py
@@ -50,6 +50,8 @@
         # Deferreds of those waiting for the next catch-up, and of those waiting for the one under way.
         self._next: list[Deferred[None]] = []
         self._catching = False
+        # Catch-ups that failed since one succeeded.
+        self._failed_catch_ups = 0
         self.turn = 0
         self.loaded = False
         # The keys and their marks; values live with the slices that listen.
@@ -74,9 +76,11 @@
                 if self._pace():
                     await sleep(self._clock, self._pace())
             except TooOld:
+                log.info("replica too old turn=%d", self.turn)
                 self.loaded = False
             except (Unavailable, Unknown) as error:
-                log.debug("watch interrupted reason=%s", error)
+                level = logging.DEBUG if self.loaded else logging.INFO
+                log.log(level, "watch interrupted turn=%d loaded=%s reason=%s", self.turn, self.loaded, error)
                 await sleep(self._clock, timedelta(seconds=0.5))
 
     async def _load(self) -> None:
@@ -153,6 +157,13 @@
 
     async def _catch_up(self) -> None:
         self._catching = True
+        try:
+            await self._serve_waiting()
+        finally:
+            # Else no catch-up would ever begin again, and nothing be confirmed.
+            self._catching = False
+
+    async def _serve_waiting(self) -> None:
         while self._next:
             if self._pace() and self._asked is not None:
                 early = self._asked + self._pace() - self._clock.now()
@@ -176,9 +187,17 @@
                 # Whoever waits must hear of it, and the next catch-up must still begin.
                 log.exception("catch-up broke")
                 reason = repr(error)
+            self._log_catch_up(reason)
             for waiter in served:
                 if reason is None:
                     waiter.callback(None)
                 else:
                     waiter.errback(Unconfirmed(reason))
-        self._catching = False
+
+    def _log_catch_up(self, reason: str | None) -> None:
+        """The first that fails, and the first that succeeds after it; they come many times a second."""
+        if reason is None and self._failed_catch_ups:
+            log.info("catch-ups succeed again turn=%d failed=%d", self.turn, self._failed_catch_ups)
+        elif reason is not None and not self._failed_catch_ups:
+            log.info("catch-up failed turn=%d loaded=%s reason=%s", self.turn, self.loaded, reason)
+        self._failed_catch_ups = 0 if reason is None else self._failed_catch_ups + 1
--- a/spindleglade/store/test_store.py
+++ b/spindleglade/store/test_store.py
@@ -194,3 +194,46 @@
         latest = max(latest, clock.now() + budget.reserve(amount))
         used += amount
     assert used <= 10.0 + 10.0 * latest.total_seconds() + 1e-6
+
+
+def test_a_catch_up_that_breaks_leaves_the_next_one_to_begin(monkeypatch):
+    """One that ended early was taken to be under way for ever, and nothing was confirmed any more."""
+
+    class Answers:
+        async def watch(self, prefix, since, wait):
+            return 1, []
+
+    clock, replica, _ = make(Answers())
+    replica.loaded = True
+    log_catch_up = replica._log_catch_up
+
+    def breaks(reason):
+        raise ValueError
+
+    monkeypatch.setattr(replica, "_log_catch_up", breaks)
+    replica.confirm()
+    monkeypatch.setattr(replica, "_log_catch_up", log_catch_up)
+    confirmed = []
+    replica.confirm().addCallback(confirmed.append)
+    assert confirmed == [None]
+
+
+def test_failing_catch_ups_are_logged_once_and_their_end_as_well(caplog):
+    caplog.set_level("INFO")
+    fails = [Unavailable("no"), Unavailable("no"), None, None]
+
+    class Answers:
+        async def watch(self, prefix, since, wait):
+            error = fails.pop(0)
+            if error is not None:
+                raise error
+            return 7, []
+
+    clock, replica, _ = make(Answers())
+    replica.loaded = True
+    while fails:
+        replica.confirm().addErrback(lambda failure: failure.trap(Unconfirmed))
+    assert [record.getMessage() for record in caplog.records] == [
+        "catch-up failed turn=0 loaded=True reason=no",
+        "catch-ups succeed again turn=7 failed=2",
+    ]
--- /dev/null
+++ b/spindleglade/throttle.py
@@ -0,0 +1,22 @@
+"""Keeps a log line that could come many times a second to once in a while."""
+
+from datetime import timedelta
+
+from spindleglade.clock import Clock
+
+
+class Throttle:
+    """Allows something at most once in `every`."""
+
+    def __init__(self, clock: Clock, every: timedelta) -> None:
+        self._clock = clock
+        self._every = every
+        self._allowed_at: timedelta | None = None
+
+    def allows(self) -> bool:
+        """Whether it may be done now; if so, not again for a while."""
+        now = self._clock.now()
+        if self._allowed_at is not None and now - self._allowed_at < self._every:
+            return False
+        self._allowed_at = now
+        return True
--- a/spindleglade/workers/cluster_base.py
+++ b/spindleglade/workers/cluster_base.py
@@ -44,6 +44,8 @@
         self.began = now
         # When a report last came that was not a late copy, by whichever way.
         self.heard = now
+        # When a task was last placed.
+        self.latest_start = now
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         # Machines proven gone; late reports of theirs must not bring them back. Never emptied: nothing bounds
--- a/spindleglade/workers/dispatch.py
+++ b/spindleglade/workers/dispatch.py
@@ -81,6 +81,10 @@
             # The order may be carried out minutes from now.
             unsure = True
             log.info("orders unanswered machine=%s orders=%d reason=%s", machine.name, len(orders), error)
+        except Exception:
+            # Left as they are, the orders would count as under way for ever, and never be given again.
+            unsure = True
+            log.exception("sending orders broke machine=%s", machine.name)
         if answer is not None and answer.status not in (200, 400, 409):
             unsure = True
         self._cluster.sent(machine, orders, unsure, self._clock.now(), reached)
--- a/spindleglade/workers/placing.py
+++ b/spindleglade/workers/placing.py
@@ -1,12 +1,14 @@
 """What planning sees of the cluster state, and the taking over of its plans."""
 
 import logging
+from collections import Counter
 from datetime import timedelta
 
 from spindleglade.backfill.snapshot import Plan, Snapshot
 from spindleglade.workers.attempts import PLACED, WAITING, Assignment, Job, Machine, MachineKind, slack
 from spindleglade.workers.cluster_base import ClusterBase
 from spindleglade.workers.messages import split_task
+from spindleglade.workers.reasons import Standstill, Unusable, Waiting
 from spindleglade.workers.views import NO_KIND, job_view, machine_view
 
 log = logging.getLogger("spindleglade.workers")
@@ -26,20 +28,62 @@
                 machine.view = None
 
     def usable(self, machine: Machine, now: timedelta) -> bool:
-        # What it answers when it is asked renews no lease: one that reaches no node lost all that it was
-        # given, lease after lease.
-        renewed = max(machine.reported or self.began, machine.vouched or self.began)
-        return (
-            machine.proven
-            and machine.leaves is None
-            and machine.not_receiving is None
-            and not machine.condemned
-            and not machine.releasing
-            and machine.type in self.kinds
-            and self._lately(machine.heard, now)
-            and self._lately(renewed, now)
-            and now >= machine.full_until
-        )
+        """Whether tasks may be started on the machine."""
+        return self.why_unusable(machine, now) is None
+
+    def why_unusable(self, machine: Machine, now: timedelta) -> Unusable | None:
+        """Why no task may be started on the machine; None if one may."""
+        reason = None
+        if not machine.proven:
+            reason = Unusable.TOKEN_NOT_SHOWN
+        elif machine.leaves is not None:
+            reason = Unusable.LEAVES
+        elif machine.not_receiving is not None:
+            reason = Unusable.NOT_RECEIVING
+        elif machine.condemned:
+            reason = Unusable.CONDEMNED
+        elif machine.releasing:
+            reason = Unusable.RELEASING
+        elif machine.type not in self.kinds:
+            reason = Unusable.TYPE_UNKNOWN
+        elif not self._lately(machine.heard, now):
+            reason = Unusable.SILENT
+        elif not self._lately(max(machine.reported or self.began, machine.vouched or self.began), now):
+            # What it answers when it is asked renews no lease: one that reaches no node lost all that it was
+            # given, lease after lease.
+            reason = Unusable.NOT_RENEWED
+        elif now < machine.full_until:
+            reason = Unusable.REFUSED_START
+        return reason
+
+    def standstill(self, now: timedelta) -> Standstill | None:
+        """What waits and why, for the log; None if no job has waiting tasks."""
+        with self.lock:
+            used: dict[str, tuple[float, float]] = {}
+            for job in self.jobs.values():
+                cpus, gpus = used.get(job.spec.team, (0.0, 0.0))
+                count = len(job.placed)
+                used[job.spec.team] = (cpus + job.spec.cpus * count, gpus + job.spec.gpus * count)
+            waits = Counter(
+                self._why_waiting(job, used, now)
+                for job in self.jobs.values()
+                if job.open and job.done + len(job.placed) < len(job.state)
+            )
+            if not waits:
+                return None
+            reasons = [self.why_unusable(machine, now) for machine in self.machines.values()]
+            return Standstill(waits, reasons.count(None), Counter(filter(None, reasons)))
+
+    def _why_waiting(self, job: Job, used: dict[str, tuple[float, float]], now: timedelta) -> Waiting:
+        if not job.released:
+            return Waiting.DEPENDENCIES
+        if job.not_before > now:
+            return Waiting.PAUSED
+        cpus, gpus = used[job.spec.team]
+        team = self.teams.get(job.spec.team)
+        if team is None or cpus + job.spec.cpus > team.cpus_max or gpus + job.spec.gpus > team.gpus_max:
+            return Waiting.TEAM_LIMIT
+        return Waiting.NO_ROOM
 
     def snapshot(self, now: timedelta) -> Snapshot:
         with self.lock:
@@ -135,6 +179,8 @@
                 if claim is not None:
                     machine.claims[job.id] = (claim[0] - 1, claim[1])
                 placed += 1
+            if placed:
+                self.latest_start = now
             for stop in plan.stops:
                 machine = self.machines.get(stop.machine)
                 if machine is None:
--- /dev/null
+++ b/spindleglade/workers/reasons.py
@@ -0,0 +1,47 @@
+"""Why machines get no work and jobs no start, as the log names it."""
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Unusable(StrEnum):
+    """Why nothing may be started on a machine."""
+
+    TOKEN_NOT_SHOWN = "token not shown"
+    LEAVES = "leaves"
+    NOT_RECEIVING = "does not receive"
+    CONDEMNED = "faulty"
+    RELEASING = "being released"
+    TYPE_UNKNOWN = "type unknown"
+    SILENT = "silent"
+    NOT_RENEWED = "lease not renewed"
+    REFUSED_START = "refused a start"
+
+
+class Waiting(StrEnum):
+    """Why a job with waiting tasks had no start."""
+
+    DEPENDENCIES = "dependencies"
+    PAUSED = "paused after failures"
+    TEAM_LIMIT = "team at its limit"
+    NO_ROOM = "no room"
+
+
+@dataclass(frozen=True)
+class Standstill:
+    """What waits and why, and what of the machines could be used."""
+
+    waiting: Counter[Waiting]
+    usable: int
+    unusable: Counter[Unusable]
+
+    def __str__(self) -> str:
+        return (
+            f"waiting=[{_listed(self.waiting)}] machines_usable={self.usable} "
+            f"machines_unusable=[{_listed(self.unusable)}]"
+        )
+
+
+def _listed(counts: Counter) -> str:
+    return ", ".join(f"{reason}: {count}" for reason, count in sorted(counts.items()))
--- a/spindleglade/workers/test_dispatch.py
+++ b/spindleglade/workers/test_dispatch.py
@@ -81,3 +81,20 @@
     harness.record()
     assert harness.cluster.to_send(harness.now, starts=False) == []
     assert [orders for _, _, orders in harness.cluster.to_send(harness.now)] == [START]
+
+
+def test_orders_whose_sending_breaks_are_not_under_way_for_ever():
+    """The machine was never sent anything again, and the start never given in the answer of a report."""
+
+    class Http:
+        async def request(self, *asked):
+            raise ValueError("no request at all")
+
+    harness = Harness()
+    harness.report()
+    harness.place()
+    harness.record()
+    make_dispatcher(harness, Http()).send()
+    machine = harness.cluster.machines["n-1"]
+    assert not machine.sending and machine.unsure
+    assert harness.report() == START
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -10,6 +10,7 @@
 from spindleglade.clock import seconds
 from spindleglade.fleet.manager import FleetManager
 from spindleglade.leader import Leader
+from spindleglade.store.client import StateClient, Unavailable
 from spindleglade.workers.cluster import Cluster
 from tests.deployment import Deployment
 from tests.faults import FAULTS, do
@@ -155,3 +156,37 @@
 def breaks_always(*args: Any) -> Any:
     """Raises whatever it is given."""
     raise Broken
+
+
+def test_the_log_says_why_nothing_starts_but_not_all_the_time(caplog):
+    caplog.set_level("INFO", "spindleglade.leadership")
+    world = World(36, deployment=Deployment(capacity=0))
+    world.run(seconds(2))
+    world.submit(1, threads=2)
+    world.run(seconds(30))
+    lines = [record.getMessage() for record in caplog.records if "nothing started" in record.getMessage()]
+    assert 4 <= len(lines) <= 6
+    assert "waiting=[no room: 1] machines_usable=0 machines_unusable=[]" in lines[0]
+    assert "kinds_refused=" in lines[0] and "term_proven=True" in lines[0]
+
+
+def test_a_leader_that_cannot_read_the_records_makes_way(monkeypatch):
+    """It kept its lease and read in vain, and no sibling could lead."""
+    world = World(37)
+    read_all = StateClient.read_all
+    first = []
+
+    async def fails_for_the_first(self, prefix):
+        leading = [node for node in world.nodes.values() if node.leader is not None]
+        if leading and not first:
+            first.append(leading[0].client)
+        if first and self is first[0]:
+            raise Unavailable("not for this node")
+        return await read_all(self, prefix)
+
+    monkeypatch.setattr(StateClient, "read_all", fails_for_the_first)
+    world.expected_errors = ("",)
+    world.trouble(seconds(45))
+    world.run(seconds(60))
+    assert first and world.leader() is not None
+    assert world.nodes[world.node_names[world.leader()]].client is not first[0]
