--- a/spindleglade/app.py
+++ b/spindleglade/app.py
@@ -18,6 +18,7 @@
 from spindleglade.leader import Leader
 from spindleglade.leadership.election import Election, Term
 from spindleglade.leadership.links import Forward, LinkDown, Links, Ping, Relay, Siblings
+from spindleglade.leadership.monitor import LeadershipMonitor
 from spindleglade.leadership.statements import Statements
 from spindleglade.settings import OperatorSettings, Platform
 from spindleglade.settings.platform import split_address
@@ -40,10 +41,8 @@
 
 # How often a node on its own tells the leader, through the store, whose leases it renews.
 VOUCH_S = 1.5
-# Leadership must not go round in circles where all nodes fare alike: how soon one resigns once more. It is
-# doubled each time that a leader got nothing done, up to the second figure.
-RESIGN_AGAIN = timedelta(seconds=60)
-LONGEST_RESIGN_AGAIN = timedelta(minutes=16)
+# How often the shares of the workers' reports are looked at.
+BALANCE_EVERY = seconds(0.5)
 # How often idle connections are looked for.
 TIDY_S = 2.0
 
@@ -153,16 +152,10 @@
             seconds(settings.leadership.lease_s),
             self._won,
             self._lost,
-            lambda: self._clock.now() >= self._stand_back,
+            lambda: self._monitor.may_campaign,
         )
-        self._stand_back = timedelta(0)
-        # When it last made room because the machines did not hear it.
-        self._stall_again = RESIGN_AGAIN
-        self._resigned = -LONGEST_RESIGN_AGAIN
         # How long after it was shown to lead by the store a node may take itself for the leader.
         self._proof_lasts = seconds(settings.store.confirm_s + settings.leadership.lease_s)
-        # When this process last ran late.
-        self._busy = timedelta(days=-1)
         self.leader: Leader | None = None
         self.replica.listen(self._job_changed)
         self.views.subscribe(self._dependency_changed)
@@ -180,7 +173,9 @@
         )
         workers = params.workers
         self._balancer = ReportBalancer(clock, workers.report, len(platform.siblings), workers.lease)
-        self._cut_off: timedelta | None = None
+        self._monitor = LeadershipMonitor(
+            clock, self.election, self, lambda: self.leader, workers.report, self._proof_lasts
+        )
         lasts = workers.cancel - workers.lease - seconds(settings.workers.cancel_margin_s)
         self._bound = CancellationBound(clock, lasts, lambda: self.replica.confirmed)
         # The leader knows what it has started, so it may go by its siblings' word as well.
@@ -194,7 +189,7 @@
             Relays(clock, seconds(settings.workers.relay_window_s), self._relay).send,
             self.election.saw_token,
             self._balancer,
-            Solitude(clock, platform.zone, workers.lease, self._alone_since),
+            Solitude(clock, platform.zone, workers.lease, lambda: self._monitor.cut_off_since),
         )
 
     @property
@@ -207,7 +202,8 @@
         self.election.start()
         self.links.start()
         keep(self._clock, self._vouch, "vouching")
-        keep(self._clock, self._look_around, "looking around")
+        keep(self._clock, self._balance, "balancing")
+        self._monitor.start()
         log.info("started node=%s zone=%s", self._platform.name, self._platform.zone)
 
     async def handle(self, method: str, path: str, body: bytes) -> Answer:
@@ -228,7 +224,7 @@
             self.client,
             self.cloud,
             self.types,
-            self._proven,
+            self.is_proven,
             self._leaders_bound,
             self.election.step_down,
             self.replica,
@@ -236,7 +232,7 @@
         )
         self.leader.start()
 
-    def _proven(self) -> bool:
+    def is_proven(self) -> bool:
         """Whether this node has lately been shown that it leads, since what it learns of a later term deposes
         it: by the store, by a sibling that reaches the store, or, in an outage of it, by all siblings.
         Machines that die then are given up without waiting for its end."""
@@ -293,63 +289,11 @@
                 except (Unavailable, Unknown) as error:
                     log.info("could not vouch reason=%s", error)
 
-    async def _look_around(self) -> None:
-        """A leader that hears neither machines nor siblings is cut off, though the store still answers it; it
-        makes room for one that is not, and stands back for a while. So does one that has lost the store and
-        all siblings, though machines still reach it: another leads by now, or will, and nothing that this one
-        decides can be recorded."""
-        patience = max(self._platform.params.workers.report * 3, seconds(3))
+    async def _balance(self) -> None:
+        """Keeps the siblings' shares of the workers' reports even."""
         while True:
-            before = self._clock.now()
-            await sleep(self._clock, seconds(0.5))
+            await sleep(self._clock, BALANCE_EVERY)
             self._weigh()
-            if self._clock.now() - before > seconds(0.75):
-                # Busy, or on a slow processor: what it has not heard may only be late. The last node that all
-                # workers could reach once stepped down for being slow, and every lease ran out.
-                self._busy = self._clock.now()
-            now = self._clock.now()
-            if now - self._busy < self._proof_lasts:
-                continue
-            siblings = not self._platform.siblings or any(link.up for link in self.links.links)
-            if siblings or self._proven():
-                self._cut_off = None
-            elif self._cut_off is None:
-                self._cut_off = now
-                log.info("cut off from the store and all siblings")
-                self.election.step_down("cut off from the store and all siblings")
-            leader = self.leader
-            if leader is None or not self._platform.siblings:
-                continue
-            if leader.stalled is not None:
-                if await self._make_way(f"stalled: {leader.stalled}", patience * 2, self._stall_again):
-                    self._stall_again = min(self._stall_again * 2, LONGEST_RESIGN_AGAIN)
-                continue
-            if not leader.active:
-                continue
-            if leader.unheard:
-                # What it sent straight to them may arrive once the cut is over; the next leader's token is
-                # higher by then, and a start that never came is given out again.
-                reason = "machines do not hear it, though they are heard"
-                await self._make_way(reason, patience * 2, RESIGN_AGAIN)
-                continue
-            with leader.cluster.lock:
-                machines = any(machine.address for machine in leader.cluster.machines.values())
-            deaf = machines and self._clock.now() - leader.cluster.heard > patience
-            if deaf and not any(link.up for link in self.links.links):
-                self._stand_back = self._clock.now() + patience * 2
-                await self.election.resign("hears neither machines nor siblings")
-
-    async def _make_way(self, reason: str, stand_back: timedelta, again: timedelta) -> bool:
-        """Resigns for a sibling that may do better, if one reaches the store and the last time was longer ago
-        than `again`. Returns whether it did."""
-        now = self._clock.now()
-        serving = any(self._serving(link) for link in self.links.links)
-        if not serving or now - self._resigned <= again:
-            return False
-        self._resigned = now
-        self._stand_back = now + stand_back
-        await self.election.resign(reason)
-        return True
 
     def _lead(self, report: Report) -> ReportAnswer | None:
         return self.leader.report(report) if self.leader is not None else None
@@ -389,9 +333,18 @@
             link.up and ping is not None and ping.unconfirmed_ms is not None and ping.unconfirmed_ms <= limit
         )
 
-    def _alone_since(self) -> timedelta | None:
-        """Since when this node has had neither the store nor a sibling."""
-        return self._cut_off
+    @property
+    def has_siblings(self) -> bool:
+        """Whether there are other nodes at all."""
+        return bool(self._platform.siblings)
+
+    def hears_a_sibling(self) -> bool:
+        """Whether the link to some sibling is up."""
+        return any(link.up for link in self.links.links)
+
+    def hears_a_serving_sibling(self) -> bool:
+        """Whether some sibling can be asked and has lately reached the store."""
+        return any(self._serving(link) for link in self.links.links)
 
     def _leader_link(self) -> Any:
         """The link to the leader. A sibling that says it leads is believed before the replica: a node that
--- a/spindleglade/leader.py
+++ b/spindleglade/leader.py
@@ -371,6 +371,12 @@
     def unheard(self) -> bool:
         return self.active and self._fleet.unheard
 
+    def hears_nothing_since(self, patience: timedelta) -> bool:
+        """Whether there are machines, and none of them has been heard for so long."""
+        with self.cluster.lock:
+            machines = any(machine.address for machine in self.cluster.machines.values())
+        return machines and self._clock.now() - self.cluster.heard > patience
+
     def vouched(self, machines: list[str]) -> None:
         if self.active:
             self.cluster.vouch(machines, self._clock.now())
--- a/tests/liveness.py
+++ b/tests/liveness.py
@@ -92,4 +92,4 @@
 
 def _may_act(node: "Node") -> bool:
     """Whether the leader may start tasks, and rent and give back machines."""
-    return node.leader is not None and node._leaders_bound.holds and node._proven()
+    return node.leader is not None and node._leaders_bound.holds and node.is_proven()
