--- a/tests/large_fleet.py
+++ b/tests/large_fleet.py
@@ -29,7 +29,7 @@
     "large": {"vcpus": 8.0, "threads": 100, "run_s": 20.0, "reckon_s": 20.0},
 }
 # CPU-seconds of work that come for each CPU and second.
-LOAD = 0.5
+LOAD = 0.75
 LAST_SUBMISSION = seconds(110)
 PLANNED = re.compile(r"planned starts=(\d+) .* cpu_ms=([\d.]+)")
 
@@ -51,7 +51,8 @@
 
 
 def large_deployment(machines: int) -> Deployment:
-    """The limits of the largest deployment that is served today, with more machines."""
+    """The rates of the largest deployment that is served today, with more machines, and sockets for twice as
+    many connections as there are workers."""
     cpus = machines * CPUS_PER_MACHINE / len(TEAMS)
     teams = tuple({"name": name, "cpus": cpus / 2, "cpus_max": cpus * 1.5} for name in TEAMS)
     return Deployment(
@@ -62,7 +63,7 @@
         rps=600.0,
         write_rps=120.0,
         cloud_rps=6.0,
-        sockets=2015,
+        sockets=2 * machines,
         txn_ops=32,
     )
 
