Tests: what users ask beyond the protocol moves out of tests/world.py

tests/service_rules.py checks idle room, what is served and when the largest begin; the team's limit is the deployment's. No check is changed.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -50,6 +50,10 @@
     txn_ops: int = 12
     next_limits: dict[str, float] | None = None
 
+    def limit(self, team: str) -> float:
+        """The CPUs that the team may use."""
+        return next(entry["cpus_max"] for entry in self.teams if entry["name"] == team)
+
 
 def _state_limits(at: Deployment) -> dict:
     limits = {"rps": at.rps, "write_rps": at.write_rps, "value_kb": at.value_kb, "txn_ops": at.txn_ops}
--- a/tests/liveness.py
+++ b/tests/liveness.py
@@ -84,7 +84,7 @@
         if world.is_complete(job_id) or not world.dependencies.released(job_id):
             return False
         job = world.jobs[job_id]
-        return world.has_room(job) or world.cloud.has_room
+        return world.service.has_room(job) or world.cloud.has_room
 
     def _broken(self, what: str) -> None:
         self._world.broken.append(f"{what} at {self._world.clock.now()}")
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -58,7 +58,7 @@
         for job in open_jobs:
             world.poll(job)
     assert not open_jobs, {job: world.told.get(job) for job in open_jobs}
-    world.check_day()
+    world.service.check_day()
 
 
 def assert_none_began_twice(world, jobs):
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -59,7 +59,7 @@
     world.run(max(seconds(46), world.calm + seconds(40) - world.clock.now()))
     if any(world.told[job] not in ("done", "aborted") for job in world.accepted):
         # There may be more work than a team's limit lets through by then.
-        world.run(max(map(world.work, ("red", "blue"))))
+        world.run(max(map(world.service.work, ("red", "blue"))))
     # All is healthy again by now: what was accepted has run, and users are told so, each of them.
     for job in world.accepted:
         assert world.told[job] in ("done", "aborted"), (job, world.told[job])
--- a/tests/world.py
+++ b/tests/world.py
@@ -18,16 +18,16 @@
 from spindleglade.sockets import Sockets
 from spindleglade.tasks import spawn
 from spindleglade.web import Turns
-from tests.deployment import CANCEL, TYPES, Deployment, description, platform, size
+from tests.deployment import CANCEL, TYPES, Deployment, description, platform
 from tests.liveness import LivenessRules
 from tests.processes import Errors, LifeClock, SimHttp
 from tests.rules import OVER, DependencyRules
+from tests.service_rules import ServiceRules
 from tests.sibling_links import SimConnection, connect_links
 from tests.standins import Cloud, Machine, Reply, StateService, Worker, decode, encode
 
-# What the users allow once all troubles are over: no answer about a job, and waiting while there is room.
+# How long the users allow that no question about a job is answered once all troubles are over.
 FORGOTTEN = seconds(75)
-IDLE_ROOM = seconds(90)
 
 
 class World:
@@ -126,12 +126,10 @@
         self.completed: set[str] = set()
         # Starts after a confirmed cancellation that came within `cancel_s`.
         self.started_late: list[str] = []
-        # Since when each job has waited although a machine had room for it; and when that was last looked at.
-        self.passed_over: dict[str, timedelta] = {}
-        self.looked = timedelta(0)
         self.broken: list[str] = []
         self.dependencies = DependencyRules(self)
         self.liveness = LivenessRules(self)
+        self.service = ServiceRules(self)
         # What nodes may log as an error, because a test makes it happen.
         self.expected_errors: tuple[str, ...] = ()
         # Told of each job when its user first hears that it is accepted, and when it is over.
@@ -621,7 +619,7 @@
             self.broken.append(f"wrong_place {task}: not scattered")
         crew = job["crew"]
         used = self.used[crew] = self.used.get(crew, 0.0) + job["vcpus"]
-        if used > self._limit(crew) + 1e-9:
+        if used > self.at.limit(crew) + 1e-9:
             self.broken.append(f"quota {crew} {used}")
         self.began.setdefault(job_id, now)
         self.latest_start[job_id] = now
@@ -776,109 +774,6 @@
             self.poll(job_id)
             self.clock.later(every, self.watch, job_id, every)
 
-    # What is asked of a whole day.
-
-    def served(self, key: Callable[[dict], Any]) -> dict:
-        """By class, team or whatever `key` gives: how much of its jobs is done, of those nobody cancelled."""
-        found: dict = {}
-        for job_id, job in self.jobs.items():
-            if not self.dependencies.cancelled(job_id):
-                found.setdefault(key(job), []).append(self.told.get(job_id) == "done")
-        return {name: sum(done) / len(done) for name, done in found.items()}
-
-    def largest(self) -> set[str]:
-        """Of each class the jobs that take as much as any of it, all tasks together."""
-        most: dict[str, float] = {}
-        for job in self.jobs.values():
-            most[job["bobbin"]] = max(most.get(job["bobbin"], 0.0), size(job))
-        return {job_id for job_id, job in self.jobs.items() if size(job) >= most[job["bobbin"]]}
-
-    def check_day(self) -> None:
-        """Every job known, and half of each class, of each team and of each class's largest jobs served; the
-        largest begun within four minutes."""
-        largest = self.largest()
-        assert self.jobs.keys() == self.accepted, sorted(self.jobs.keys() - self.accepted)
-        for key in (
-            lambda job: job["bobbin"],
-            lambda job: job["crew"],
-            lambda job: (job["bobbin"], job["ref"] in largest),
-        ):
-            shares = self.served(key)
-            assert min(shares.values(), default=1.0) >= 0.5, shares
-        waits = {
-            job: self.began.get(job, self.clock.now() + seconds(240)) - self.sent[job]
-            for job in largest
-            if not self.dependencies.cancelled(job)
-        }
-        late = {job: wait for job, wait in waits.items() if wait >= seconds(240)}
-        assert not late, late
-
-    def _room(self) -> tuple[list[tuple[Machine, float, float]], Counter]:
-        """What each machine that is well has free, and the CPUs that each team holds."""
-        free: list[tuple[Machine, float, float]] = []
-        held: Counter[str] = Counter()
-        for worker in self.workers.values():
-            if worker.gone:
-                continue
-            for name, _ in worker.tasks:
-                job = self.jobs[name.rpartition("/")[0]]
-                held[job["crew"]] += job["vcpus"]
-            if worker.hung is None and worker.warning is None:
-                free.append((worker.machine, *worker._free()))
-        return free, held
-
-    def _fits(self, job: dict, free: list[tuple[Machine, float, float]], held: Counter) -> bool:
-        """Whether a task of the job could start somewhere, by all that the rules say."""
-        if held[job["crew"]] + job["vcpus"] > self._limit(job["crew"]):
-            return False
-        tasks = (f"{job['ref']}/{index}" for index in range(job["threads"]))
-        zones = [self.workers[name].machine.zone for task in tasks for name in self.on.get(task, ())]
-        for machine, cpus, memory in free:
-            if (machine.spot and not job["windfall"]) or (job["glade"] and job["glade"] != machine.zone):
-                continue
-            if job["together"] and zones and machine.zone not in zones:
-                continue
-            if job["scatter"] and zones.count(machine.zone) + 1 > (job["threads"] + 1) // 2:
-                continue
-            if cpus >= job["vcpus"] and memory >= job["mem_gb"]:
-                return True
-        return False
-
-    def has_room(self, job: dict) -> bool:
-        """Whether a task of the job could start on a machine that is there."""
-        return self._fits(job, *self._room())
-
-    def work(self, team: str) -> timedelta:
-        """How long a team's jobs take at its limit, if each takes as long as it may."""
-        cpu_s = sum(size(job) * 1.5 * job["run_s"] for job in self.jobs.values() if job["crew"] == team)
-        return seconds(cpu_s / self._limit(team))
-
-    def _limit(self, team: str) -> float:
-        return next(entry["cpus_max"] for entry in self.at.teams if entry["name"] == team)
-
-    def _look_for_idle_room(self) -> None:
-        """No job may wait for long while a machine that fits has room and its team is under its limit."""
-        now = self.clock.now()
-        if now < self.calm or now - self.looked < seconds(2):
-            return
-        self.looked = now
-        free, held = self._room()
-        for job_id in self.accepted:
-            job = self.jobs[job_id]
-            tasks = [f"{job_id}/{index}" for index in range(job["threads"])]
-            if (
-                self.dependencies.cancelled(job_id)
-                or not self.dependencies.released(job_id)
-                or self.told.get(job_id) in ("done", "aborted")
-                or all(task in self.completed or self.on.get(task) for task in tasks)
-                or not self._fits(job, free, held)
-            ):
-                self.passed_over.pop(job_id, None)
-                continue
-            since = max(self.passed_over.setdefault(job_id, now), self.latest_start.get(job_id, now * 0))
-            if now - since > IDLE_ROOM:
-                self.broken.append(f"waits {job_id} since {since} while there is room")
-
     def run(self, length: timedelta, step: timedelta = timedelta(milliseconds=50)) -> None:
         end = self.clock.now() + length
         errors = Errors()
@@ -898,7 +793,7 @@
         self._look_at_cancelled()
         self.dependencies.look()
         self.liveness.look()
-        self._look_for_idle_room()
+        self.service.look()
         for job_id, asked in self.asked.items():
             since = max(self.answered.get(job_id, timedelta(0)), self.calm, self.sent.get(job_id, asked))
             if asked - since > FORGOTTEN:
