--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Any
 
 import msgspec
 
@@ -61,34 +62,37 @@
 
 
 def platform(index: int, at: Deployment) -> Platform:
+    """The settings that the platform hands to one controller."""
+    return msgspec.convert(platform_settings(index, at), Platform)
+
+
+def platform_settings(index: int, at: Deployment) -> dict[str, Any]:
+    """The same as the platform writes them down."""
     names = [f"node-{number}" for number in range(at.nodes)]
-    return msgspec.convert(
-        {
-            "node": names[index],
-            "zone": "ab"[index % 2],
-            "client_listen": f"10.0.0.{index}:1",
-            "peer_bind": f"10.0.0.{index}:2",
-            "siblings": [
-                {"node": name, "zone": "a", "endpoint": f"10.0.0.{number}:2"}
-                for number, name in enumerate(names)
-                if number != index
-            ],
-            "external": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"},
-            "params": {
-                "zones": ["a", "b"],
-                "teams": list(at.teams),
-                "workers": {
-                    "report_s": at.report.total_seconds(),
-                    "lease_s": at.lease.total_seconds(),
-                    "cancel_s": CANCEL.total_seconds(),
-                },
-                "state": _state_limits(at),
-                "cloud": {"rps": at.cloud_rps, "list_lag_s": 1.0},
-                "machine_limits": {"sockets": at.sockets},
+    return {
+        "node": names[index],
+        "zone": "ab"[index % 2],
+        "client_listen": f"10.0.0.{index}:1",
+        "peer_bind": f"10.0.0.{index}:2",
+        "siblings": [
+            {"node": name, "zone": "a", "endpoint": f"10.0.0.{number}:2"}
+            for number, name in enumerate(names)
+            if number != index
+        ],
+        "external": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"},
+        "params": {
+            "zones": ["a", "b"],
+            "teams": list(at.teams),
+            "workers": {
+                "report_s": at.report.total_seconds(),
+                "lease_s": at.lease.total_seconds(),
+                "cancel_s": CANCEL.total_seconds(),
             },
+            "state": _state_limits(at),
+            "cloud": {"rps": at.cloud_rps, "list_lag_s": 1.0},
+            "machine_limits": {"sockets": at.sockets},
         },
-        Platform,
-    )
+    }
 
 
 def description(job_id: str, fields: dict) -> dict:
--- a/tests/liveness.py
+++ b/tests/liveness.py
@@ -5,6 +5,7 @@
 
 from spindleglade.clock import seconds
 from tests.rules import OVER
+from tests.versions import is_proven
 
 if TYPE_CHECKING:
     from spindleglade.app import Node
@@ -92,4 +93,4 @@
 
 def _may_act(node: "Node") -> bool:
     """Whether the leader may start tasks, and rent and give back machines."""
-    return node.leader is not None and node._leaders_bound.holds and node.is_proven()
+    return node.leader is not None and node._leaders_bound.holds and is_proven(node)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -7,8 +7,8 @@
 from twisted.internet.defer import Deferred
 
 from spindleglade.clock import ManualClock, seconds
-from spindleglade.web import NoAnswer, NotSent, Response
 from tests.standins import Reply
+from tests.versions import Version
 
 if TYPE_CHECKING:
     from tests.world import World
@@ -57,10 +57,11 @@
 
 
 class SimHttp:
-    """The outgoing requests of one process."""
+    """The outgoing requests of one process, answered in the terms of its version."""
 
-    def __init__(self, world: "World", name: str, life: LifeClock) -> None:
+    def __init__(self, world: "World", name: str, life: LifeClock, version: Version) -> None:
         self._world, self._name, self._life = world, name, life
+        self._web = version.module("web")
 
     async def request(
         self,
@@ -69,23 +70,23 @@
         path: str,
         body: bytes | None = None,
         timeout: timedelta | None = None,
-    ) -> Response:
-        waiter: Deferred[Response] = Deferred()
+    ) -> Any:
+        waiter: Deferred[Any] = Deferred()
 
         def answered(answer: Reply | None) -> None:
             if self._life.alive and not waiter.called:
                 if answer is None:
-                    waiter.errback(NoAnswer("lost"))
+                    waiter.errback(self._web.NoAnswer("lost"))
                 else:
-                    waiter.callback(Response(*answer))
+                    waiter.callback(self._web.Response(*answer))
 
         def late() -> None:
             if not waiter.called:
-                waiter.errback(NoAnswer("timed out"))
+                waiter.errback(self._web.NoAnswer("timed out"))
 
         target = self._world.names.get(address, address)
         if self._world.refuses(self._name, target):
-            raise NotSent("refused")
+            raise self._web.NotSent("refused")
         sockets = self._world.sockets[self._name]
         if target.startswith("n-"):
             self._world.opened(sockets)
--- a/tests/record_production.py
+++ b/tests/record_production.py
@@ -51,11 +51,11 @@
             if write.set is not None:
                 self.values[write.set] = bytes(write.v).decode()
 
-    def as_sent(self, message: Message) -> Message:
+    def as_received(self, message: Message, receiver: str) -> Message:
         encoded, kind = msgspec.msgpack.encode(message), type(message).__name__
         if len(encoded) > len(self.messages.get(kind, b"")):
             self.messages[kind] = encoded
-        return super().as_sent(message)
+        return super().as_received(message, receiver)
 
 
 def run_until_recorded() -> RecordingWorld:
--- a/tests/sibling_links.py
+++ b/tests/sibling_links.py
@@ -29,7 +29,7 @@
         world = self._world
         if self._other in world.silent:
             world.sent_to_silent[self._own, type(message)].append(world.clock.now())
-        received = world.as_sent(message)
+        received = world.as_received(message, self._other)
         world.pass_to_sibling(self._own, self._other, lambda: self._arrive(received))
 
     def _arrive(self, message: Message) -> None:
--- a/tests/test_production.py
+++ b/tests/test_production.py
@@ -173,9 +173,9 @@
         self.written = []
         super().__init__(*args, **named)
 
-    def as_sent(self, message):
+    def as_received(self, message, receiver):
         self.sent_messages.append((message, msgspec.msgpack.encode(message)))
-        return super().as_sent(message)
+        return super().as_received(message, receiver)
 
     def _serve(self, source, target, method, path, body):
         if target == "state" and path == "/txn":
--- /dev/null
+++ b/tests/versions.py
@@ -0,0 +1,100 @@
+"""The versions of the service that a simulated deployment can run: the code as it stands, and the one in
+production, which `deploy/service.toml` names and the repository's history holds.
+
+The sources of the latter are imported as a second package beside the present one, so that processes of both
+versions serve in one simulated deployment, on the same store, machines and users.
+"""
+
+import importlib
+import io
+import re
+import subprocess
+import sys
+import tarfile
+import tempfile
+import tomllib
+from dataclasses import dataclass
+from functools import cache
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+import msgspec
+
+ROOT = Path(__file__).resolve().parent.parent
+PACKAGE = "spindleglade"
+PRODUCTION_PACKAGE = "spindleglade_in_production"
+_IMPORT = re.compile(rf"^(\s*(?:from|import) ){PACKAGE}\b", re.MULTILINE)
+
+
+@dataclass(frozen=True)
+class Version:
+    """One version of the service, by the package that it is imported as."""
+
+    package: str
+
+    def module(self, name: str) -> ModuleType:
+        """A module of this version, such as `leadership.links`."""
+        return importlib.import_module(f"{self.package}.{name}")
+
+    @property
+    def is_production(self) -> bool:
+        """Whether this is the version in production."""
+        return self.package == PRODUCTION_PACKAGE
+
+    def platform(self, described: dict[str, Any]) -> Any:
+        """The platform's settings as this version reads them."""
+        return msgspec.convert(described, self.module("settings").Platform)
+
+    def read_message(self, encoded: bytes) -> Any:
+        """A message of a sibling as this version reads it."""
+        return msgspec.msgpack.decode(encoded, type=self.module("leadership.links").Message)
+
+
+CURRENT = Version(PACKAGE)
+
+
+def is_of_production(node: Any) -> bool:
+    """Whether a controller's process runs the version in production."""
+    return type(node).__module__.startswith(f"{PRODUCTION_PACKAGE}.")
+
+
+def is_proven(node: Any) -> bool:
+    """Whether the controller has lately been shown that it leads; production has it under another name."""
+    return node._proven() if is_of_production(node) else node.is_proven()
+
+
+def production_commit() -> str:
+    """The commit that `deploy/service.toml` records."""
+    return tomllib.loads((ROOT / "deploy" / "service.toml").read_text(encoding="utf-8"))["production"]
+
+
+def has_history() -> bool:
+    """Whether this is a checkout with the repository's history; a tree that was unpacked from an archive has
+    none, and the version in production cannot be taken from it."""
+    return (ROOT / ".git").exists()
+
+
+@cache
+def production() -> Version:
+    """The version in production, imported from a copy that lives as long as this process. Raises
+    CalledProcessError if the history lacks its commit."""
+    command = ["git", "-C", str(ROOT), "archive", production_commit(), PACKAGE]
+    archive = subprocess.run(command, check=True, capture_output=True).stdout
+    folder = Path(_copies().name)
+    with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
+        tar.extractall(folder, filter="data")
+    # Only imports are renamed: the names of loggers and stored keys stay.
+    for file in folder.rglob("*.py"):
+        file.write_text(
+            _IMPORT.sub(rf"\1{PRODUCTION_PACKAGE}", file.read_text(encoding="utf-8")), encoding="utf-8"
+        )
+    (folder / PACKAGE).rename(folder / PRODUCTION_PACKAGE)
+    sys.path.append(str(folder))
+    return Version(PRODUCTION_PACKAGE)
+
+
+@cache
+def _copies() -> tempfile.TemporaryDirectory[str]:
+    """Removed when the process ends."""
+    return tempfile.TemporaryDirectory(prefix="spindleglade-production-")
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,18 +13,18 @@
 
 from spindleglade.app import Node
 from spindleglade.clock import ManualClock, seconds
-from spindleglade.leadership.links import Links, Message, decode_message
+from spindleglade.leadership.links import Links, Message
 from spindleglade.settings import OperatorSettings
 from spindleglade.sockets import Sockets
 from spindleglade.tasks import spawn
-from spindleglade.web import Turns
-from tests.deployment import CANCEL, TYPES, Deployment, description, platform
+from tests.deployment import CANCEL, TYPES, Deployment, description, platform_settings
 from tests.liveness import LivenessRules
 from tests.processes import Errors, LifeClock, SimHttp
 from tests.rules import OVER, DependencyRules
 from tests.service_rules import ServiceRules
 from tests.sibling_links import SimConnection, connect_links
 from tests.standins import Cloud, Machine, Reply, StateService, Worker, decode, encode
+from tests.versions import CURRENT, Version
 
 # How long the users allow that no question about a job is answered once all troubles are over.
 FORGOTTEN = seconds(75)
@@ -63,6 +63,8 @@
         self.node_names = [f"node-{at}" for at in range(self.at.nodes)]
         self.names = {"10.2.0.1:1": "state", "10.2.0.2:1": "cloud"}
         self.nodes: dict[str, Node] = {}
+        # What each controller's next process runs, where it is not the code as it stands.
+        self.versions: dict[str, Version] = {}
         self.lives: dict[str, LifeClock] = {}
         # Each node's connections to machines and from workers, and the most that there ever were.
         self.sockets: dict[str, Sockets] = {}
@@ -148,12 +150,15 @@
         life = LifeClock(self.clock)
         self.lives[name] = life
 
-        siblings = platform(index, self.at).siblings
+        version = self.versions.get(name, CURRENT)
+        platform = version.platform(platform_settings(index, self.at))
         ping = seconds(self.settings.leadership.ping_s)
 
         def connect(hello: Any, relay: Any, forward: Any, saw: Any, ended: Any) -> Links:
             # Nobody is told of ended processes: successors wait for the lease, which is harder.
-            links = Links(None, life, siblings, ping, hello, relay, forward, saw, lambda name: None)
+            links = version.module("leadership.links").Links(
+                None, life, platform.siblings, ping, hello, relay, forward, saw, lambda name: None
+            )
             return connect_links(self, name, links)
 
         async def compute(work: Any, *args: Any) -> Any:
@@ -163,12 +168,13 @@
             return work(*args)
 
         self.sockets[name] = sockets = Sockets(self.at.sockets)
-        node = Node(
-            platform(index, self.at),
-            self.settings,
+        http = SimHttp(self, name, life, version)
+        node = version.module("app").Node(
+            platform,
+            version.module("settings").OperatorSettings() if version.is_production else self.settings,
             life,
-            SimHttp(self, name, life),
-            Turns(SimHttp(self, name, life), life, sockets),
+            http,
+            version.module("web").Turns(http, life, sockets),
             connect,
             compute,
         )
@@ -467,9 +473,9 @@
         if not self.is_cut(source, target) and target not in self.not_receiving:
             self._serve(source, target, method, path, body)
 
-    def as_sent(self, message: Message) -> Message:
-        """A message between siblings as the other one reads it."""
-        return decode_message(msgspec.msgpack.encode(message))
+    def as_received(self, message: Message, receiver: str) -> Message:
+        """A message between siblings as the one that it goes to reads it."""
+        return self.versions.get(receiver, CURRENT).read_message(msgspec.msgpack.encode(message))
 
     def _pass(self, source: str, target: str, deliver: Any) -> None:
         pair = frozenset((source, target))
