--- a/spindleglade/workers/test_dependents.py
+++ b/spindleglade/workers/test_dependents.py
@@ -15,7 +15,7 @@
 from spindleglade.workers.recorder import Recorder
 from spindleglade.workers.test_cluster import RULES, TOKEN, Harness, spec
 from spindleglade.workers.test_recorder import Store
-from tests.world import Deployment, platform
+from tests.deployment import Deployment, platform
 
 
 def dependent(id="job-2", dependencies=("job-1",), **fields):
--- a/spindleglade/workers/test_splitting.py
+++ b/spindleglade/workers/test_splitting.py
@@ -22,8 +22,8 @@
 from spindleglade.workers.recorder import Recorder
 from spindleglade.workers.test_cluster import TOKEN, make_cluster, spec
 from spindleglade.workers.test_recorder import ANY_JOB, ANY_MACHINE, FATES, RecordsStory
+from tests.deployment import Deployment, platform
 from tests.standins import StateService
-from tests.world import Deployment, platform
 
 LOWER = NextStateLimits(value_kb=0.45, txn_ops=4)
 SPANS = st.tuples(st.integers(0, 99), st.integers(1, 70)).map(lambda at: set(range(at[0], at[0] + at[1])))
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -23,9 +23,9 @@
     test: str
     cause: str
     issue: str
-    collected: int = 0
-    passed: int = 0
-    failed: list[str] = field(default_factory=list)
+    cases: set[str] = field(default_factory=set)
+    passed: set[str] = field(default_factory=set)
+    failed: set[str] = field(default_factory=set)
 
 
 def read_listed(file: Path) -> list[ListedTest]:
@@ -59,22 +59,27 @@
         for item in items:
             entry = self._entry(item.nodeid)
             if entry is not None:
-                entry.collected += 1
                 item.add_marker(pytest.mark.xfail(reason=f"{FILE_NAME}: {entry.cause}", strict=False))
 
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
         """Counts how the cases of the listed tests fared."""
         entry = self._entry(report.nodeid)
-        if entry is None or not hasattr(report, "wasxfail"):
+        if entry is None:
+            return
+        entry.cases.add(report.nodeid)
+        if not hasattr(report, "wasxfail"):
             return
         if report.skipped:
-            entry.failed.append(report.nodeid)
+            entry.failed.add(report.nodeid)
         elif report.passed and report.when == "call":
-            entry.passed += 1
+            entry.passed.add(report.nodeid)
 
     @pytest.hookimpl(trylast=True)
     def pytest_sessionfinish(self, session: pytest.Session) -> None:
-        """Fails the run where the list is not as it should be."""
+        """Fails the run where the list is not as it should be. A process that runs a share of the tests for
+        another one sees its own share alone, and leaves this to the other."""
+        if hasattr(session.config, "workerinput"):
+            return
         if session.exitstatus == pytest.ExitCode.OK and self._complaints(session.config):
             session.exitstatus = pytest.ExitCode.TESTS_FAILED
 
@@ -82,7 +87,7 @@
         """Prints what was passed over, and what is wrong with the list."""
         for entry in self._listed.values():
             terminalreporter.write_line(
-                f"{FILE_NAME}: {entry.test}: {len(entry.failed)} of {entry.collected} cases passed over; "
+                f"{FILE_NAME}: {entry.test}: {len(entry.failed)} of {len(entry.cases)} cases passed over; "
                 f"cause: {entry.cause}; issue: {entry.issue}"
             )
         for complaint in self._complaints(terminalreporter.config):
@@ -93,8 +98,8 @@
         named = config.args_source is pytest.Config.ArgsSource.ARGS
         whole_suite = not named and not config.option.keyword
         for entry in self._listed.values():
-            if whole_suite and not entry.collected:
+            if whole_suite and not entry.cases:
                 found.append(f"{entry.test} does not exist")
-            elif entry.collected and entry.passed == entry.collected:
+            elif entry.cases and entry.passed == entry.cases:
                 found.append(f"{entry.test} passes and is to be taken off the list")
         return found
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -30,6 +30,12 @@
 RED, GREEN, OTHER = "test_it.py::test_red", "test_it.py::test_green", "test_it.py::test_other_red"
 
 
+@pytest.fixture(params=[(), ("-n", "2")], ids=["one process", "two processes"])
+def processes(request):
+    """The arguments that say in how many processes the tests run."""
+    return request.param
+
+
 def run(folder, lines, *arguments):
     """Exit status and output of a run of `TESTS` with that list."""
     (folder / "conftest.py").write_text(CONFTEST)
@@ -46,27 +52,27 @@
     return f"{test} | the cause | issue 0"
 
 
-def test_listed_failures_are_passed_over_and_printed(tmp_path):
-    status, output = run(tmp_path, [line(RED), line(OTHER)])
+def test_listed_failures_are_passed_over_and_printed(tmp_path, processes):
+    status, output = run(tmp_path, [line(RED), line(OTHER)], *processes)
     assert status == 0
     assert f"{RED}: 1 of 2 cases passed over; cause: the cause; issue: issue 0" in output
     assert f"{OTHER}: 1 of 1 cases passed over" in output
 
 
-def test_a_failure_that_is_not_listed_fails_the_run(tmp_path):
-    status, output = run(tmp_path, [line(RED)])
+def test_a_failure_that_is_not_listed_fails_the_run(tmp_path, processes):
+    status, output = run(tmp_path, [line(RED)], *processes)
     assert status == 1
     assert f"FAILED {OTHER}" in output
 
 
-def test_a_listed_test_that_passes_fails_the_run(tmp_path):
-    status, output = run(tmp_path, [line(RED), line(OTHER), line(GREEN)])
+def test_a_listed_test_that_passes_fails_the_run(tmp_path, processes):
+    status, output = run(tmp_path, [line(RED), line(OTHER), line(GREEN)], *processes)
     assert status == 1
     assert f"{GREEN} passes and is to be taken off the list" in output
 
 
-def test_a_listed_test_that_does_not_exist_fails_a_run_of_all(tmp_path):
-    status, output = run(tmp_path, [line(RED), line(OTHER), line("test_it.py::test_gone")])
+def test_a_listed_test_that_does_not_exist_fails_a_run_of_all(tmp_path, processes):
+    status, output = run(tmp_path, [line(RED), line(OTHER), line("test_it.py::test_gone")], *processes)
     assert status == 1
     assert "test_it.py::test_gone does not exist" in output
 
@@ -74,7 +80,7 @@
 @pytest.mark.parametrize(
     "lines", [[line(f"test_it.py::test_{at}") for at in range(4)], ["test_it.py::test_red"], [f"{RED} | | 3"]]
 )
-def test_a_list_that_is_too_long_or_cannot_be_read_is_refused(tmp_path, lines):
-    status, output = run(tmp_path, lines)
+def test_a_list_that_is_too_long_or_cannot_be_read_is_refused(tmp_path, processes, lines):
+    status, output = run(tmp_path, lines, *processes)
     assert status == 4
     assert "KNOWN-RED.txt: " in output
