Dependency lists of jobs that are over are forgotten; no dependent is overdue by a takeover

Each node kept the lists that did not fit a job's record for as long as it lived, thousands of names for a job that is over; its id stays known without them. A new leader dated the overdue clock of a dependent that had tasks on record from its release, where any other job's begins anew, so dependents went ahead of others after a change of leader.

--- a/spindleglade/submissions/test_dependencies.py
+++ b/spindleglade/submissions/test_dependencies.py
@@ -137,6 +137,27 @@
     assert views.jobs["job-2"].stage == "aborted" and views.jobs["job-2"].final
 
 
+@pytest.mark.parametrize("end", ["done", "aborted", "through another"])
+@pytest.mark.parametrize("told_again", [False, True], ids=["", "told again"])
+def test_the_lists_of_a_job_that_is_over_are_forgotten_and_its_id_is_not(end, told_again):
+    """A list may name thousands of jobs. A listing tells of it again, since its keys stay in the store."""
+    views = JobViews()
+    lists = Put(dependency_key("job-2", 0), raw(["job-1"]))
+    if end == "done":
+        tell(views, record(1, "done"), lists, record(2, dependency_keys=1), record(2, "done"))
+    elif end == "aborted":
+        tell(views, record(1), lists, record(2, dependency_keys=1), record(2, "aborted"))
+    else:
+        tell(views, record(1), record(3, dependencies=["job-1"]), lists, record(2, dependency_keys=1))
+        tell(views, record(1, "aborted"))
+        assert views.jobs["job-3"].record.dependencies == []
+    if told_again:
+        tell(views, lists, record(2, end, dependency_keys=0) if end in ("done", "aborted") else lists)
+    assert not views.dependency_lists
+    assert views.jobs["job-2"].stage == ("done" if end == "done" else "aborted")
+    assert views.jobs["job-2"].final
+
+
 def test_a_release_dates_from_the_end_of_the_last_dependency():
     at = datetime(2026, 1, 1, tzinfo=UTC)
     views = JobViews()
--- a/spindleglade/submissions/views.py
+++ b/spindleglade/submissions/views.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from spindleglade.submissions.dependencies import DependencyGraph, Outcome
+from spindleglade.submissions.dependency_lists import DependencyLists
 from spindleglade.submissions.pieces import Pieces
 from spindleglade.submissions.records import (
     DEPENDENCIES,
@@ -100,8 +101,7 @@
         self._aborted_with_tasks: set[str] = set()
         self._aborted_places: set[tuple[str, int]] | None = set()
         self.graph = DependencyGraph()
-        # Lists of dependencies read from keys of their own.
-        self._dependency_lists: dict[str, dict[int, list[str]]] = {}
+        self.dependency_lists = DependencyLists()
         self._observers: list[Callable[[str], None]] = []
 
     def subscribe(self, observer: Callable[[str], None]) -> None:
@@ -113,7 +113,7 @@
         that is not on record."""
         record = self.jobs[job].record
         times = [record.accepted]
-        for name in self._dependencies_of(record):
+        for name in self.dependency_lists.dependencies(record):
             dependency = self.jobs.get(name)
             if dependency is not None:
                 times.append(dependency.record.finished)
@@ -163,6 +163,8 @@
                 view.take(key, chunk)
             self._read_dependencies(record)
         view.record = record
+        if view.final:
+            self._forget_dependencies(view)
         self._notify(self.graph.observe(job, Outcome(record.stage)))
         if record.stage == "done":
             view.values = {}
@@ -189,33 +191,38 @@
         if not chunks:
             del self.chunks_before_job[job]
 
-    def _dependencies_of(self, record: JobRecord) -> list[str]:
-        lists = self._dependency_lists.get(record.spec.id, {})
-        return record.dependencies + [name for number in sorted(lists) for name in lists[number]]
-
     def _add_dependency_list(self, key: str, dependencies: list[str]) -> None:
-        job, number = split_dependency_key(key)
-        self._dependency_lists.setdefault(job, {})[number] = dependencies
+        job, _ = split_dependency_key(key)
         view = self.jobs.get(job)
+        if view is not None and view.final:
+            return
+        self.dependency_lists.add(key, dependencies)
         if view is not None:
             self._read_dependencies(view.record)
 
+    def _forget_dependencies(self, view: JobView) -> None:
+        """A job that is over waits for nothing; its list may be long, and stays in the store."""
+        view.record = msgspec.structs.replace(view.record, dependencies=[], dependency_keys=0)
+        self.dependency_lists.forget(view.record.spec.id)
+
     def _read_dependencies(self, record: JobRecord) -> None:
         """Adds an open job to the graph once all its dependencies are known. They are written in one
         transaction, but a listing may show the record without the other keys."""
         job = record.spec.id
         if record.stage != "open" or not record.has_dependencies:
             return
-        if len(self._dependency_lists.get(job, ())) < record.dependency_keys:
+        if not self.dependency_lists.is_complete(record):
             self.graph.hold(job)
             return
-        self._notify(self.graph.add(job, self._dependencies_of(record)))
+        self._notify(self.graph.add(job, self.dependency_lists.dependencies(record)))
 
     def _notify(self, jobs: set[str]) -> None:
         for job in sorted(jobs):
             view = self.jobs.get(job)
             if view is not None:
                 view.cancelled = self.graph.is_cancelled(job)
+                if view.cancelled:
+                    self._forget_dependencies(view)
             for observer in self._observers:
                 observer(job)
 
--- a/spindleglade/workers/recording.py
+++ b/spindleglade/workers/recording.py
@@ -96,7 +96,9 @@
             job = self.jobs.get(job_id)
             if job is not None and not job.released:
                 job.released = True
-                job.hungry = now - age
+                # Later than the release is when a job was read that has had starts: that of its latest is not
+                # on record.
+                job.hungry = max(job.hungry, now - age)
                 self.changes += 1
 
     def set_awaited(self, job_id: str, awaited: bool) -> None:
--- a/spindleglade/workers/test_dependents.py
+++ b/spindleglade/workers/test_dependents.py
@@ -10,8 +10,9 @@
 from spindleglade.leadership.election import Term
 from spindleglade.settings import OperatorSettings
 from spindleglade.store.client import Entry, Listing, raw
-from spindleglade.submissions.records import JobRecord, job_key
+from spindleglade.submissions.records import Chunk, JobRecord, Placement, job_key
 from spindleglade.submissions.views import JobViews
+from spindleglade.workers.attempts import WAITING
 from spindleglade.workers.recorder import Recorder
 from spindleglade.workers.test_cluster import RULES, TOKEN, Harness, spec
 from spindleglade.workers.test_recorder import Store
@@ -54,6 +55,21 @@
     assert candidates(harness)["job-2"].overdue
 
 
+def test_a_dependent_with_tasks_on_record_is_not_overdue_for_a_new_leader():
+    """When its latest start was is not on record, so its clock begins anew, as that of any other job."""
+    harness = waiting()
+    harness.now += RULES.patience * 3
+    placed = Chunk(placed={0: Placement(1, "n-1", 1)})
+    for job in ("job-1", "job-2"):
+        harness.cluster.load_chunk(job, 0, placed, harness.now)
+    harness.cluster.release("job-2", harness.now, RULES.patience * 2)
+    harness.cluster.jobs["job-2"].state[0] = WAITING
+    harness.cluster.jobs["job-2"].placed.clear()
+    assert not candidates(harness)["job-2"].overdue
+    harness.now += RULES.patience
+    assert candidates(harness)["job-2"].overdue
+
+
 def test_a_job_cancelled_through_an_ancestor_is_over_without_a_write():
     harness = waiting()
     harness.cluster.cancel_dependent("job-2")
