Pipelines and histories of a leader move out of leader.py; taking over in named steps

What applies the dependency graph to the cluster state is now spindleglade/pipelines.py, what keeps the histories on record spindleglade/histories.py.

--- a/spindleglade/leader.py
+++ b/spindleglade/leader.py
@@ -12,24 +12,22 @@
 from spindleglade.backfill.planner import Planner
 from spindleglade.backfill.rounds import Rounds
 from spindleglade.backfill.snapshot import Plan
-from spindleglade.backfill.urgency import ChainedJob, urgencies
-from spindleglade.clock import ZERO, Clock, seconds, sleep
+from spindleglade.clock import Clock, seconds, sleep
 from spindleglade.fleet.client import CloudClient
 from spindleglade.fleet.manager import FleetManager
 from spindleglade.fleet.types import TypeBook
-from spindleglade.leadership.election import LEADER, Term
+from spindleglade.histories import HistoryRecorder
+from spindleglade.leadership.election import Term
 from spindleglade.loop import Loop
+from spindleglade.pipelines import PipelineUpdater
 from spindleglade.settings import OperatorSettings, Platform
 from spindleglade.store.client import (
-    Committed,
-    Condition,
     Entry,
-    Put,
+    Listing,
     StateClient,
     TooOld,
     Unavailable,
     Unknown,
-    raw,
 )
 from spindleglade.store.replica import Replica
 from spindleglade.submissions.records import (
@@ -59,13 +57,11 @@
 
 log = logging.getLogger("spindleglade.leadership")
 
-# How long changes of pipelines are gathered before priorities and deadlines are passed on again.
-URGENCY_DELAY = seconds(0.2)
-# Share of the time that this may take.
-URGENCY_SHARE = 0.05
 # Between two passes of the upkeep, and between two records of the teams' histories.
 UPKEEP_EVERY = seconds(1)
 HISTORIES_EVERY = seconds(10)
+# How soon records that could not be read are asked for again.
+READ_AGAIN_AFTER = seconds(0.3)
 # How often the log says why nothing starts.
 STANDSTILL_LOGGED_EVERY = seconds(5)
 # A leader that has not read all records after so long leaves it to a sibling.
@@ -112,9 +108,9 @@
         # Whether starts and renewals were allowed when this was last looked at.
         self._bound_held = True
         # Changes that came while everything was being read.
-        self._early: list[tuple[JobRecord, int]] | None = []
-        self._urgency_timer: Any = None
-        self._urgency_delay = URGENCY_DELAY
+        self._changes_while_reading: list[tuple[JobRecord, int]] = []
+        # Set once everything has been read.
+        self._pipelines: PipelineUpdater | None = None
         # Jobs with a record that cannot be read.
         self._unreadable: set[str] = set()
         # Marks of the teams' histories in the store.
@@ -132,6 +128,8 @@
 
     def end(self) -> None:
         self._ended = True
+        if self._pipelines is not None:
+            self._pipelines.stop()
         if self.active:
             self.active = False
             self._rounds.stop()
@@ -140,18 +138,49 @@
             self._fleet.stop()
             self._upkeep.stop()
             self._histories.stop()
+            self._history_recorder.stop()
 
     async def _begin(self) -> None:
+        """Reads all records, and begins to act by them."""
+        listing = await self._read_listing()
+        if listing is None:
+            return
+        now = self._clock.now()
+        self.cluster = cluster = self._new_cluster(now)
+        marks = self._read(cluster, listing.entries, now)
+        for record, mark in self._changes_while_reading:
+            self._take(cluster, record, mark)
+        self._pipelines = PipelineUpdater(cluster, self._views, self.predictor, self._clock, self._changed)
+        self._pipelines.update_all()
+        cluster.loaded()
+        self._make_parts(cluster, marks)
+        self.active = True
+        log.info(
+            "took over token=%d jobs=%d placed=%d keys=%d",
+            self.term.token,
+            len(cluster.jobs),
+            sum(len(job.placed) for job in cluster.jobs.values()),
+            len(listing.entries),
+        )
+        self._recorder.start()
+        self._rounds.start()
+        self._fleet.start()
+        self._upkeep.start()
+        self._histories.start()
+
+    async def _read_listing(self) -> Listing | None:
+        """All that the store holds; None if the term is over before it could be read."""
         while not self._ended:
             try:
                 listing = await self._client.read_all(PREFIX)
-                break
+                return None if self._ended else listing
             except (Unavailable, Unknown, TooOld) as error:
                 log.info("records not read reason=%s", error)
-                await sleep(self._clock, seconds(0.3))
-        if self._ended:
-            return
-        now = self._clock.now()
+                await sleep(self._clock, READ_AGAIN_AFTER)
+        return None
+
+    def _new_cluster(self, now: timedelta) -> Cluster:
+        """A cluster state without jobs and machines."""
         workers = self._platform.params.workers
         own = self._settings.workers
         rules = Rules(
@@ -162,19 +191,11 @@
             seconds(own.backoff_most_s),
             seconds(self._settings.backfill.overdue_s),
         )
-        cluster = Cluster(
-            self.term.token, rules, self._platform.teams, self._types.kinds(), self.predictor, now
-        )
-        self.cluster = cluster
-        marks = self._read(cluster, listing.entries, now)
-        assert self._early is not None
-        for record, mark in self._early:
-            self._take(cluster, record, mark)
-        self._early = None
-        for job in list(cluster.jobs):
-            self._update_dependent(job)
-        self._update_urgency()
-        cluster.loaded()
+        return Cluster(self.term.token, rules, self._platform.teams, self._types.kinds(), self.predictor, now)
+
+    def _make_parts(self, cluster: Cluster, marks: dict[str, int]) -> None:
+        """All that acts on the cluster state; nothing is started yet."""
+        own = self._settings.workers
         self._recorder = Recorder(
             cluster,
             self._client,
@@ -218,29 +239,15 @@
             seconds(self._settings.backfill.round_s),
             self._planned,
         )
-        self._upkeep = Loop(
-            self._clock, "upkeep", self._keep, partial(sleep, self._clock, UPKEEP_EVERY), waits_first=True
-        )
-        self._histories = Loop(
-            self._clock,
-            "histories",
-            self._record_history,
-            partial(sleep, self._clock, HISTORIES_EVERY),
-            waits_first=True,
-        )
-        self.active = True
-        log.info(
-            "took over token=%d jobs=%d placed=%d keys=%d",
-            self.term.token,
-            len(cluster.jobs),
-            sum(len(job.placed) for job in cluster.jobs.values()),
-            len(listing.entries),
+        self._upkeep = self._periodic("upkeep", self._keep, UPKEEP_EVERY)
+        self._history_recorder = HistoryRecorder(
+            cluster, self.predictor, self._client, self.term, self._history_marks, self._deposed
         )
-        self._recorder.start()
-        self._rounds.start()
-        self._fleet.start()
-        self._upkeep.start()
-        self._histories.start()
+        self._histories = self._periodic("histories", self._history_recorder.record, HISTORIES_EVERY)
+
+    def _periodic(self, name: str, one_pass: Callable[[], Awaitable[None]], every: timedelta) -> Loop:
+        """A loop that waits so long before each pass."""
+        return Loop(self._clock, name, one_pass, partial(sleep, self._clock, every), waits_first=True)
 
     def _read(self, cluster: Cluster, entries: list[Entry], now: timedelta) -> dict[str, int]:
         """Takes in what the store holds; returns the marks of the chunks. A record that cannot be read must
@@ -293,8 +300,8 @@
         return marks
 
     def job_changed(self, record: JobRecord, mark: int) -> None:
-        if self._early is not None:
-            self._early.append((record, mark))
+        if self._pipelines is None:
+            self._changes_while_reading.append((record, mark))
             return
         self._take(self.cluster, record, mark)
         self._changed()
@@ -307,55 +314,13 @@
         if record.accepted is not None:
             age = max(age, self._clock.utc() - record.accepted)
         cluster.take_job(record, mark, self._clock.now(), age)
-        if self._early is None:
-            self._update_dependent(record.spec.id)
+        if self._pipelines is not None:
+            self._pipelines.update(record.spec.id)
 
     def dependency_changed(self, job: str) -> None:
         """The job was released, cancelled through an ancestor, or is now awaited by others."""
-        if self._early is None and not self._ended:
-            self._update_dependent(job)
-            self._changed()
-            if self._urgency_timer is None:
-                # Many jobs may change at once, and the pass looks at all that are unfinished.
-                self._urgency_timer = self._clock.later(self._urgency_delay, self._update_urgency)
-
-    def _update_urgency(self) -> None:
-        """Passes priorities and deadlines on from the ends of pipelines to their beginnings."""
-        self._urgency_timer = None
-        if self._ended:
-            return
-        began = self._clock.now()
-        graph = self._views.graph
-        members = self.cluster.chain_members(graph.members())
-        jobs = {
-            name: ChainedJob(
-                member.rank,
-                member.deadline,
-                self.predictor.expected(member.team, member.estimate),
-                graph.dependents(name),
-            )
-            for name, member in members.items()
-        }
-        for name, urgency in urgencies(jobs).items():
-            latest = None
-            if jobs[name].dependents and urgency.deadline is not None:
-                latest = urgency.deadline - jobs[name].expected * 2
-            self.cluster.set_urgency(name, urgency.rank, latest)
-        # With thousands of jobs in pipelines a pass takes long; reports and leases go first.
-        self._urgency_delay = max(URGENCY_DELAY, (self._clock.now() - began) / URGENCY_SHARE)
-
-    def _update_dependent(self, job: str) -> None:
-        """Applies to the cluster state what the graph of dependencies says of the job."""
-        graph = self._views.graph
-        if job not in self.cluster.jobs:
-            return
-        self.cluster.set_awaited(job, graph.is_awaited(job))
-        if graph.is_cancelled(job):
-            self.cluster.cancel_dependent(job)
-        elif job in self._views.jobs and graph.is_released(job):
-            released = self._views.released_at(job)
-            age = ZERO if released is None else max(ZERO, self._clock.utc() - released)
-            self.cluster.release(job, self._clock.now(), age)
+        if self._pipelines is not None:
+            self._pipelines.job_changed(job)
 
     @property
     def stalled(self) -> str | None:
@@ -439,33 +404,3 @@
                 log.info("starts and renewals allowed token=%d", self.term.token)
             else:
                 log.info("starts and renewals withheld reason=no recent proof of knowing all cancellations")
-
-    async def _record_history(self) -> None:
-        with self.cluster.lock:
-            teams, self.cluster.learned = self.cluster.learned, set()
-            writes = [Put(HISTORY + team, raw(self.predictor.export(team))) for team in sorted(teams)]
-        # Some 25 bins, a few hundred bytes. Bins set so fine that they do not fit are not kept.
-        writes = [put for put in writes if len(put.value) <= self._client.limits.value_bytes]
-        most = self._client.limits.operations
-        for at in range(0, len(writes), most):
-            part = writes[at : at + most]
-            # A transaction without an answer may be carried out after newer ones of this same term.
-            when = [Condition(put.key, self._history_marks.get(put.key, 0)) for put in part]
-            try:
-                result = await self._client.txn([self.term.condition, *when], part)
-                if not self.active:
-                    return
-                if isinstance(result, Committed):
-                    self._history_marks.update((put.key, result.turn) for put in part)
-                    continue
-                if LEADER in result.failed:
-                    self._deposed("a history was refused")
-                    return
-                for key in result.failed:
-                    entry = await self._client.get(key)
-                    self._history_marks[key] = 0 if entry is None else entry.mark
-            except (Unavailable, Unknown) as error:
-                log.info("histories not recorded reason=%s", error)
-            with self.cluster.lock:
-                self.cluster.learned |= teams
-            return
--- a/spindleglade/test_leader.py
+++ b/spindleglade/test_leader.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from spindleglade.clock import ManualClock, seconds
+from spindleglade.histories import HistoryRecorder
 from spindleglade.leader import Leader
 from spindleglade.leadership.election import LEADER, Term
 from spindleglade.settings import OperatorSettings
@@ -90,11 +91,19 @@
     return leader, deposed
 
 
-def learn(leader, runs):
+def make_recorder(store):
+    """A recorder of histories, its cluster state, and what it was deposed for."""
+    cluster, deposed = make_cluster(), []
+    predictor = make(store)[0].predictor
+    recorder = HistoryRecorder(cluster, predictor, store, Term(TOKEN, 5, 1), {}, deposed.append)
+    return recorder, cluster, deposed
+
+
+def learn(recorder, runs):
     for _ in range(runs):
-        leader.predictor.add("t", seconds(9))
-    leader.cluster.learned = {"t"}
-    spawn(leader._record_history(), "history")
+        recorder._predictor.add("t", seconds(9))
+    recorder._cluster.learned = {"t"}
+    spawn(recorder.record(), "history")
 
 
 def runs_on_record(store):
@@ -104,37 +113,37 @@
 def test_a_late_history_does_not_undo_a_newer_one():
     """They were conditional on the leader key alone, which is the same for all of a term."""
     store = Store(late=[1])
-    leader, deposed = make(store)
-    learn(leader, 1)
-    assert leader.cluster.learned == {"t"}
-    learn(leader, 1)
-    assert runs_on_record(store) == 2 and not leader.cluster.learned
+    recorder, cluster, deposed = make_recorder(store)
+    learn(recorder, 1)
+    assert cluster.learned == {"t"}
+    learn(recorder, 1)
+    assert runs_on_record(store) == 2 and not cluster.learned
     store.land()
     assert runs_on_record(store) == 2 and not deposed
 
 
 def test_a_late_history_that_came_first_is_written_over():
     store = Store(late=[1])
-    leader, deposed = make(store)
-    learn(leader, 1)
+    recorder, cluster, deposed = make_recorder(store)
+    learn(recorder, 1)
     store.land()
-    learn(leader, 1)
+    learn(recorder, 1)
     # Refused: what is there was read, and it is written the next time.
-    assert runs_on_record(store) == 1 and leader.cluster.learned == {"t"}
-    learn(leader, 1)
+    assert runs_on_record(store) == 1 and cluster.learned == {"t"}
+    learn(recorder, 1)
     assert runs_on_record(store) == 3 and not deposed
 
 
 def test_a_refused_history_deposes_its_own_term_only():
     store = Store()
     store.keys[LEADER] = (b"{}", 6)
-    leader, deposed = make(store)
-    learn(leader, 1)
+    recorder, cluster, deposed = make_recorder(store)
+    learn(recorder, 1)
     assert len(deposed) == 1 and HISTORY + "t" not in store.keys
     # An answer that comes after the term is over says nothing to the next, which may be this node's.
     store.slow = Deferred()
-    learn(leader, 1)
-    leader.active = False
+    learn(recorder, 1)
+    recorder.stop()
     store.slow.callback(None)
     assert len(deposed) == 1
 
--- a/spindleglade/workers/test_dependents.py
+++ b/spindleglade/workers/test_dependents.py
@@ -8,6 +8,7 @@
 from spindleglade.clock import ManualClock, seconds
 from spindleglade.leader import Leader
 from spindleglade.leadership.election import Term
+from spindleglade.pipelines import PipelineUpdater
 from spindleglade.settings import OperatorSettings
 from spindleglade.store.client import Entry, Listing, raw
 from spindleglade.submissions.records import Chunk, JobRecord, Placement, job_key
@@ -183,6 +184,10 @@
     return leader, views, entries
 
 
+def pipelines_of(leader, views):
+    return PipelineUpdater(leader.cluster, views, leader.predictor, leader._clock, lambda: None)
+
+
 @pytest.mark.parametrize("stage", ["open", "done", "aborted"])
 def test_a_new_leader_releases_by_the_records_it_reads_itself(stage):
     first = JobRecord(stage, spec(), 8)
@@ -191,9 +196,7 @@
     leader.cluster = harness.cluster
     leader.cluster.jobs.clear()
     leader._read(leader.cluster, entries, harness.now)
-    leader._early = None
-    for id in list(leader.cluster.jobs):
-        leader._update_dependent(id)
+    pipelines_of(leader, views).update_all()
     job = leader.cluster.jobs["job-2"]
     assert (job.released, job.aborted) == (stage == "done", stage == "aborted")
     assert leader.cluster.jobs["job-3"].aborted == (stage == "aborted")
@@ -209,8 +212,8 @@
     leader.cluster = harness.cluster
     leader.cluster.jobs.clear()
     leader._read(leader.cluster, entries, harness.now)
-    leader._early = None
-    leader._update_urgency()
+    pipelines = pipelines_of(leader, views)
+    pipelines.update_urgency()
     now = leader._clock.now()
     found = {id: (job.rank, job.latest_start) for id, job in leader.cluster.jobs.items()}
     # 100 s, less the runs of what comes after, less twice its own.
@@ -221,5 +224,5 @@
     }
     views.listener(job_key("job-3"), raw(JobRecord("aborted", last.spec, 8)), 20)
     leader.cluster.take_job(JobRecord("aborted", last.spec, 8), 20)
-    leader._update_urgency()
+    pipelines.update_urgency()
     assert {id: job.rank for id, job in leader.cluster.jobs.items()} == {"job-1": 1, "job-2": 1, "job-3": 3}
