Recorder: what breaks between the store's answer and the end of a batch loses nothing

An error there left records of the batch neither marked nor put back: a start whose record was in the store waited for ever. The batch is now written once more, like one whose write failed.

--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -5,7 +5,8 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from datetime import timedelta
 
 import msgspec
@@ -110,7 +111,8 @@
         self._pause = ZERO
         batch = self._collect()
         if batch.size == 0:
-            self._forget_over(batch)
+            with self._put_back_if_it_breaks(batch):
+                self._forget_over(batch)
             return
         self._fit(batch)
         self._singly = max(0, self._singly - 1)
@@ -129,7 +131,18 @@
             raise
         else:
             if not self._stopped:
-                await self._written(batch, result)
+                with self._put_back_if_it_breaks(batch):
+                    await self._written(batch, result)
+
+    @contextmanager
+    def _put_back_if_it_breaks(self, batch: Batch) -> Iterator[None]:
+        """Whatever breaks while an answer is taken in, all of the batch is written once more: what the store
+        holds of it by now, and by which marks, its next answer shows."""
+        try:
+            yield
+        except Exception:
+            self._cluster.put_back(batch)
+            raise
 
     def _collect(self) -> Batch:
         most = 1 if self._singly else self._most
--- /dev/null
+++ b/spindleglade/workers/test_recorder_errors.py
@@ -0,0 +1,91 @@
+"""Errors between the store's answer to a batch and the end of it: what the store holds by then is not lost
+track of, and is not left waiting either."""
+
+import pytest
+
+from spindleglade.backfill.snapshot import Plan, Start
+from spindleglade.clock import ManualClock, seconds
+from spindleglade.leadership.election import Term
+from spindleglade.store.client import raw
+from spindleglade.submissions.records import JobRecord, chunk_key, job_key
+from spindleglade.workers.attempts import DONE
+from spindleglade.workers.messages import Report
+from spindleglade.workers.recorder import Recorder
+from spindleglade.workers.test_cluster import TOKEN, make_cluster, spec
+from spindleglade.workers.test_recorder import Store
+
+# Jobs with a start to be recorded, one that has ended, and one that is over and whose chunk is to go.
+STARTING = ("job-1", "job-2", "job-3")
+ENDED = "job-4"
+OVER = "job-5"
+
+
+class Breaks:
+    """Raises at its call of that number, and passes all others on."""
+
+    def __init__(self, call, at):
+        self._call, self._at, self.count = call, at, 0
+
+    def __call__(self, *arguments):
+        self.count += 1
+        if self.count == self._at:
+            raise RuntimeError("broke")
+        return self._call(*arguments)
+
+
+def batch_of_each_kind():
+    """A cluster with something of each kind to record, and the store that holds its jobs."""
+    cluster, store, now = make_cluster(), Store(), ManualClock().now()
+    cluster.teams = {}
+    for mark, job in enumerate((*STARTING, ENDED, OVER), 1):
+        record = JobRecord("aborted" if job == OVER else "open", spec(job, 1), 8)
+        cluster.take_job(record, mark)
+        store.marks[job_key(job)] = mark
+        store.values[job_key(job)] = raw(record)
+    cluster.report(Report("n-1", "x:1", "m", "z", True, 1, 1, TOKEN, []), now, True)
+    cluster.apply(Plan(starts=[Start(job, 0, "n-1") for job in STARTING]), now)
+    ended = cluster.jobs[ENDED]
+    ended.state[0], ended.done = DONE, 1
+    cluster._changed(ended, 0)
+    marks = {chunk_key(OVER, 0): 9}
+    store.marks |= marks
+    return cluster, store, marks
+
+
+@pytest.mark.parametrize("at", [1, 2])
+@pytest.mark.parametrize("step", ["committed", "finished", "forget", "learn", "told"])
+def test_a_batch_that_breaks_after_its_answer_is_recorded_in_the_end(step, at):
+    cluster, store, marks = batch_of_each_kind()
+    clock, deposed = ManualClock(), []
+    learn, told = Breaks(lambda key, value, mark: None, 0), Breaks(lambda: None, 0)
+    breaking = Breaks(None, at)
+    if step in ("committed", "finished", "forget"):
+        breaking._call = getattr(cluster, step)
+        setattr(cluster, step, breaking)
+    elif step == "learn":
+        learn = breaking = Breaks(lambda key, value, mark: None, at)
+    else:
+        told = breaking = Breaks(lambda: None, at)
+    recorder = Recorder(cluster, store, clock, Term(TOKEN, 5, 1), marks, told, deposed.append, learn)
+    recorder.start()
+    for _ in range(100):
+        clock.advance(seconds(0.1))
+    assert all(cluster.jobs[job].placed[0].recorded for job in STARTING)
+    assert not cluster.jobs.keys() & {ENDED, OVER} and not cluster.dirty and not deposed
+    # What it holds for the store's is what the store has.
+    assert marks == {key: mark for key, mark in store.marks.items() if key.startswith("sg/task/")}
+    assert marks.keys() == {chunk_key(job, 0) for job in STARTING}
+
+
+def test_an_error_while_a_refusal_is_looked_into_loses_nothing():
+    cluster, store, marks = batch_of_each_kind()
+    # The store has a newer chunk than the recorder knows of: its write had no answer.
+    store.marks[chunk_key("job-2", 0)] = 8
+    store.get = Breaks(store.get, 1)
+    clock, deposed = ManualClock(), []
+    recorder = Recorder(cluster, store, clock, Term(TOKEN, 5, 1), marks, lambda: None, deposed.append)
+    recorder.start()
+    for _ in range(100):
+        clock.advance(seconds(0.1))
+    assert store.get.count > 1 and not deposed
+    assert all(cluster.jobs[job].placed[0].recorded for job in STARTING)
