Tests: pipelines of 4,000 jobs at a leader; production's layouts compared with its commit

The copies of production's layouts were pinned by bytes of an earlier commit; they are now compared with the modules of the one that deploy/service.toml names: all seven agree.

--- a/spindleglade/workers/test_dependents.py
+++ b/spindleglade/workers/test_dependents.py
@@ -1,5 +1,6 @@
 """The leader's cluster state and recorder with jobs that depend on others."""
 
+import time
 from datetime import timedelta
 
 import pytest
@@ -226,3 +227,43 @@
     leader.cluster.take_job(JobRecord("aborted", last.spec, 8), 20)
     pipelines.update_urgency()
     assert {id: job.rank for id, job in leader.cluster.jobs.items()} == {"job-1": 1, "job-2": 1, "job-3": 3}
+
+
+# Jobs of one pipeline, and the processor time within which a leader takes them in and acts on the first end.
+THOUSANDS = 4000
+TAKEN_IN_WITHIN_S = 10.0
+
+
+@pytest.mark.parametrize("stage", ["done", "aborted"])
+@pytest.mark.parametrize("shape", ["chain", "fan out", "fan in"])
+def test_a_leader_takes_in_pipelines_of_thousands_and_the_end_of_their_first_job(shape, stage):
+    needs = {
+        "chain": lambda number: [f"job-{number - 1}"],
+        "fan out": lambda number: ["job-1"],
+        "fan in": lambda number: (
+            [f"job-{other}" for other in range(1, THOUSANDS)] if number == THOUSANDS else []
+        ),
+    }[shape]
+    records = [JobRecord("open", spec("job-1", 1), 8)]
+    records += [dependent(f"job-{number}", needs(number)) for number in range(2, THOUSANDS + 1)]
+    began = time.process_time()
+    leader, views, entries = take_over(*records)
+    harness = Harness()
+    leader.cluster = harness.cluster
+    leader.cluster.jobs.clear()
+    leader._read(leader.cluster, entries, harness.now)
+    pipelines = pipelines_of(leader, views)
+    pipelines.update_all()
+    views.subscribe(pipelines.job_changed)
+    views.listener(job_key("job-1"), raw(JobRecord(stage, spec("job-1", 1), 8)), THOUSANDS + 1)
+    pipelines.update_urgency()
+    assert time.process_time() - began < TAKEN_IN_WITHIN_S
+    last = leader.cluster.jobs[f"job-{THOUSANDS}"]
+    assert last.released == (shape == "fan out" and stage == "done")
+    assert last.aborted == (stage == "aborted")
+    released = sum(job.released for job in leader.cluster.jobs.values())
+    # The first job itself, those that need nothing, and those that its end releases.
+    expected = {"chain": 1, "fan out": 1, "fan in": THOUSANDS - 1}[shape]
+    if stage == "done":
+        expected += {"chain": 1, "fan out": THOUSANDS - 1, "fan in": 0}[shape]
+    assert released == expected
--- a/tests/production.py
+++ b/tests/production.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-# The commit that runs in production, of which the fixtures are.
+# The commit that wrote the fixtures. The one in production, which deploy/service.toml names, came later and
+# has the same layouts: test_production.py compares them.
 COMMIT = "59133da"
 
 PREFIX = "sg/"
--- a/tests/test_production.py
+++ b/tests/test_production.py
@@ -8,7 +8,7 @@
 from spindleglade.fleet.messages import Types
 from spindleglade.leadership import election, links
 from spindleglade.submissions import records
-from tests import production
+from tests import production, versions
 from tests.deployment import description
 from tests.production_writer import ProductionWriter
 from tests.recorded_day import (
@@ -20,6 +20,7 @@
     read_store,
     recorded_world,
 )
+from tests.versions import has_history
 from tests.world import World
 
 STORE = read_store()
@@ -83,6 +84,38 @@
         assert production.chunk_key(*production.split_chunk_key(entry.key)) == entry.key
 
 
+def layout(kind):
+    """What a layout accepts, without the words that describe it."""
+
+    def without_descriptions(schema):
+        if isinstance(schema, dict):
+            return {
+                name: without_descriptions(value) for name, value in schema.items() if name != "description"
+            }
+        return [without_descriptions(one) for one in schema] if isinstance(schema, list) else schema
+
+    return without_descriptions(msgspec.json.schema(kind))
+
+
+@pytest.mark.skipif(not has_history(), reason="not a checkout: production is in the history alone")
+@pytest.mark.parametrize(
+    ("module", "name"),
+    [
+        ("submissions.records", "JobRecord"),
+        ("submissions.records", "Chunk"),
+        ("backfill.distributions", "History"),
+        ("fleet.messages", "Types"),
+        ("leadership.election", "LeaderRecord"),
+        ("leadership.election", "TokenRecord"),
+        ("leadership.links", "Message"),
+    ],
+)
+def test_the_layouts_are_those_of_the_commit_in_production(module, name):
+    """The recording was made by an earlier commit than the one that deploy/service.toml names."""
+    original = getattr(versions.production().module(module), name)
+    assert layout(getattr(production, name)) == layout(original)
+
+
 # The code as it stands reads them.
 
 
