Tests: deadlines count from the submission; no start of a waiting job that has a placement on record

Taking these two guards out failed nothing: the deadline was dated by a test that never waited, and the order of a start is refused a step earlier as well. Each now has a test, seen to fail without its guard.

--- a/spindleglade/workers/test_dependents.py
+++ b/spindleglade/workers/test_dependents.py
@@ -15,6 +15,7 @@
 from spindleglade.submissions.records import Chunk, JobRecord, Placement, job_key
 from spindleglade.submissions.views import JobViews
 from spindleglade.workers.attempts import WAITING
+from spindleglade.workers.messages import Order
 from spindleglade.workers.recorder import Recorder
 from spindleglade.workers.test_cluster import RULES, TOKEN, Harness, spec
 from spindleglade.workers.test_recorder import Store
@@ -57,6 +58,24 @@
     assert candidates(harness)["job-2"].overdue
 
 
+def test_the_deadline_counts_from_the_submission_however_long_the_job_waits():
+    harness = Harness()
+    harness.cluster.take_job(dependent(deadline_s=100.0), 2, harness.now, seconds(30))
+    expected = harness.now + seconds(70)
+    assert harness.cluster.jobs["job-2"].deadline == expected
+    harness.now += seconds(60)
+    harness.cluster.release("job-2", harness.now, timedelta(0))
+    assert harness.cluster.jobs["job-2"].deadline == expected
+
+
+def test_no_start_of_a_job_that_waits_is_ordered_though_a_placement_is_on_record():
+    harness = waiting()
+    harness.cluster.load_chunk("job-2", 0, Chunk(placed={0: Placement(3, "n-1", 1)}), harness.now)
+    assert harness.report() == [] and not harness.cluster.to_send(harness.now)
+    harness.cluster.release("job-2", harness.now, timedelta(0))
+    assert harness.report() == [Order("start", "job-2/0", 3)]
+
+
 def test_a_dependent_with_tasks_on_record_is_not_overdue_for_a_new_leader():
     """When its latest start was is not on record, so its clock begins anew, as that of any other job."""
     harness = waiting()
