--- a/spindleglade/workers/test_recorder_errors.py
+++ b/spindleglade/workers/test_recorder_errors.py
@@ -6,7 +6,7 @@
 from spindleglade.backfill.snapshot import Plan, Start
 from spindleglade.clock import ManualClock, seconds
 from spindleglade.leadership.election import Term
-from spindleglade.store.client import raw
+from spindleglade.store.client import Put, TooLarge, raw
 from spindleglade.submissions.records import JobRecord, chunk_key, job_key
 from spindleglade.workers.attempts import DONE
 from spindleglade.workers.messages import Report
@@ -89,3 +89,42 @@
         clock.advance(seconds(0.1))
     assert store.get.count > 1 and not deposed
     assert all(cluster.jobs[job].placed[0].recorded for job in STARTING)
+
+
+class LoweringStore(Store):
+    """Refuses what holds that key as too large, and takes smaller values from its first refusal on."""
+
+    def __init__(self, refused_key):
+        super().__init__()
+        self._refused_key = refused_key
+        self.sent = []
+
+    async def txn(self, when, writes, urgent=False):
+        self.sent.append(tuple((write.key, bytes(write.value)) for write in writes if isinstance(write, Put)))
+        if any(write.key == self._refused_key for write in writes if isinstance(write, Put)):
+            self.value_bytes = 20
+            raise TooLarge("400")
+        return await super().txn(when, writes, urgent)
+
+
+def test_a_value_that_cannot_be_made_smaller_is_never_sent_twice_unchanged():
+    """One task is no longer than it is: collected anew under the lower limit the value is the same."""
+    cluster, store, clock = make_cluster(), LoweringStore(chunk_key("job-1", 0)), ManualClock()
+    cluster.teams = {}
+    cluster.take_job(JobRecord("open", spec("job-1", 1), 8), 1)
+    cluster.report(Report("n-1", "x:1", "m", "z", True, 1, 1, TOKEN, []), clock.now(), True)
+    cluster.apply(Plan(starts=[Start("job-1", 0, "n-1")]), clock.now())
+    recorder = Recorder(cluster, store, clock, Term(TOKEN, 5, 1), {}, lambda: None, str)
+    recorder.start()
+    for _ in range(100):
+        clock.advance(seconds(0.1))
+    assert len(store.sent) == 1
+    # What comes after it is recorded all the same.
+    cluster.take_job(JobRecord("open", spec("job-2", 1), 8), 2)
+    store.marks[job_key("job-2")] = 2
+    cluster.report(Report("n-1", "x:1", "m", "z", True, 1, 2, TOKEN, []), clock.now(), True)
+    cluster.apply(Plan(starts=[Start("job-2", 0, "n-1")]), clock.now())
+    recorder.wake()
+    for _ in range(100):
+        clock.advance(seconds(0.1))
+    assert cluster.jobs["job-2"].placed[0].recorded and len(store.sent) == len(set(store.sent))
