One place for waiting in simulated tests and for production's sources; less done twice

The recorder puts a batch back in one handler, whatever breaks in its pass, where two did. A released job's release date is not computed again at each change or takeover, and the record of a job without dependencies is not copied as it ends.

--- a/spindleglade/pipelines.py
+++ b/spindleglade/pipelines.py
@@ -69,7 +69,7 @@
         self._cluster.set_awaited(job, graph.is_awaited(job))
         if graph.is_cancelled(job):
             self._cluster.cancel_dependent(job)
-        elif job in self._views.jobs and graph.is_released(job):
+        elif not self._cluster.jobs[job].released and job in self._views.jobs and graph.is_released(job):
             released = self._views.released_at(job)
             age = ZERO if released is None else max(ZERO, self._clock.utc() - released)
             self._cluster.release(job, self._clock.now(), age)
--- a/spindleglade/submissions/views.py
+++ b/spindleglade/submissions/views.py
@@ -202,7 +202,8 @@
 
     def _forget_dependencies(self, view: JobView) -> None:
         """A job that is over waits for nothing; its list may be long, and stays in the store."""
-        view.record = msgspec.structs.replace(view.record, dependencies=[], dependency_keys=0)
+        if view.record.has_dependencies:
+            view.record = msgspec.structs.replace(view.record, dependencies=[], dependency_keys=0)
         self.dependency_lists.forget(view.record.spec.id)
 
     def _read_dependencies(self, record: JobRecord) -> None:
--- a/spindleglade/workers/recorder.py
+++ b/spindleglade/workers/recorder.py
@@ -5,8 +5,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from datetime import timedelta
 
 import msgspec
@@ -110,9 +109,17 @@
         """Writes one batch; what it could not write is put back."""
         self._pause = ZERO
         batch = self._collect()
+        try:
+            await self._write_batch(batch)
+        except Exception:
+            # Whatever breaks, all of it is written once more: what the store holds of it by now, and by which
+            # marks, its next answer shows.
+            self._cluster.put_back(batch)
+            raise
+
+    async def _write_batch(self, batch: Batch) -> None:
         if batch.size == 0:
-            with self._put_back_if_it_breaks(batch):
-                self._forget_over(batch)
+            self._forget_over(batch)
             return
         self._fit(batch)
         self._singly = max(0, self._singly - 1)
@@ -127,22 +134,10 @@
             self._not_written(batch, error)
         except Exception:
             self._set_aside_if_alone(batch)
-            self._cluster.put_back(batch)
             raise
         else:
             if not self._stopped:
-                with self._put_back_if_it_breaks(batch):
-                    await self._written(batch, result)
-
-    @contextmanager
-    def _put_back_if_it_breaks(self, batch: Batch) -> Iterator[None]:
-        """Whatever breaks while an answer is taken in, all of the batch is written once more: what the store
-        holds of it by now, and by which marks, its next answer shows."""
-        try:
-            yield
-        except Exception:
-            self._cluster.put_back(batch)
-            raise
+                await self._written(batch, result)
 
     def _collect(self) -> Batch:
         most = 1 if self._singly else self._most
--- a/spindleglade/workers/test_dependents.py
+++ b/spindleglade/workers/test_dependents.py
@@ -182,7 +182,8 @@
 
 
 def take_over(*records):
-    """The leader's state after it has read these records, ahead of its replica."""
+    """A leader that has read these records, ahead of its replica; the node's views, and what applies the
+    dependencies among them to the leader's state."""
     views = JobViews()
     entries = [Entry(job_key(record.spec.id), raw(record), mark) for mark, record in enumerate(records, 1)]
     leader = Leader(
@@ -201,22 +202,22 @@
         Replica(views),
         views,
     )
-    return leader, views, entries
-
-
-def pipelines_of(leader, views):
-    return PipelineUpdater(leader.cluster, views, leader.predictor, leader._clock, lambda: None)
+    harness = Harness()
+    leader.cluster = harness.cluster
+    leader.cluster.jobs.clear()
+    leader._read(leader.cluster, entries, harness.now)
+    return (
+        leader,
+        views,
+        PipelineUpdater(leader.cluster, views, leader.predictor, leader._clock, lambda: None),
+    )
 
 
 @pytest.mark.parametrize("stage", ["open", "done", "aborted"])
 def test_a_new_leader_releases_by_the_records_it_reads_itself(stage):
     first = JobRecord(stage, spec(), 8)
-    leader, views, entries = take_over(first, dependent(), dependent("job-3", ["job-2"]))
-    harness = Harness()
-    leader.cluster = harness.cluster
-    leader.cluster.jobs.clear()
-    leader._read(leader.cluster, entries, harness.now)
-    pipelines_of(leader, views).update_all()
+    leader, _, pipelines = take_over(first, dependent(), dependent("job-3", ["job-2"]))
+    pipelines.update_all()
     job = leader.cluster.jobs["job-2"]
     assert (job.released, job.aborted) == (stage == "done", stage == "aborted")
     assert leader.cluster.jobs["job-3"].aborted == (stage == "aborted")
@@ -225,14 +226,9 @@
 
 def test_priorities_and_deadlines_reach_the_beginning_of_a_pipeline():
     last = dependent("job-3", ["job-2"], priority="critical", deadline_s=100.0, estimate_s=10.0)
-    leader, views, entries = take_over(
+    leader, views, pipelines = take_over(
         JobRecord("open", spec(estimate_s=7.0), 8), dependent(estimate_s=5.0), last
     )
-    harness = Harness()
-    leader.cluster = harness.cluster
-    leader.cluster.jobs.clear()
-    leader._read(leader.cluster, entries, harness.now)
-    pipelines = pipelines_of(leader, views)
     pipelines.update_urgency()
     now = leader._clock.now()
     found = {id: (job.rank, job.latest_start) for id, job in leader.cluster.jobs.items()}
@@ -266,12 +262,7 @@
     records = [JobRecord("open", spec("job-1", 1), 8)]
     records += [dependent(f"job-{number}", needs(number)) for number in range(2, THOUSANDS + 1)]
     began = time.process_time()
-    leader, views, entries = take_over(*records)
-    harness = Harness()
-    leader.cluster = harness.cluster
-    leader.cluster.jobs.clear()
-    leader._read(leader.cluster, entries, harness.now)
-    pipelines = pipelines_of(leader, views)
+    leader, views, pipelines = take_over(*records)
     pipelines.update_all()
     views.subscribe(pipelines.job_changed)
     views.listener(job_key("job-1"), raw(JobRecord(stage, spec("job-1", 1), 8)), THOUSANDS + 1)
--- a/tests/test_both_versions.py
+++ b/tests/test_both_versions.py
@@ -9,9 +9,9 @@
 from tests.deployment import Deployment
 from tests.faults import FAULTS, do
 from tests.pipelines import Pipelines, chain, diamond, fan_in
-from tests.rules import OVER
 from tests.stored_tasks import Attempts, StoredTasks
 from tests.versions import has_history, is_of_production, production
+from tests.waiting import settle
 from tests.world import World
 
 pytestmark = pytest.mark.skipif(
@@ -87,15 +87,6 @@
     return "production" if is_of_production(world.nodes[world.node_names[leader]]) else "current"
 
 
-def settle(world, span=150.0):
-    """All jobs end; one that nobody cancelled is done."""
-    end = max(world.clock.now(), world.calm) + seconds(span)
-    while world.clock.now() < end and any(world.told.get(job) not in OVER for job in world.jobs):
-        world.run(seconds(1))
-    open_jobs = {job: world.told.get(job) for job in world.jobs if world.told.get(job) not in OVER}
-    assert not open_jobs, open_jobs
-
-
 def finish_day(world):
     """This version runs everywhere: pipelines begin, some after jobs of production, and the limits fall."""
     assert not old_nodes(world)
@@ -107,7 +98,7 @@
     world.clock.later(seconds(2), lambda: world.state.lower_limits(**NEXT_LIMITS))
     pipelines.cancel_some(0.1, seconds(4))
     world.run(seconds(8))
-    settle(world)
+    settle(world, 150.0, after_troubles=True)
     pipelines.settle()
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,9 +10,9 @@
 from tests.faults import FAULTS, do
 from tests.production import HISTORY, JOBS, TASKS, VOUCHED, decode_record, split_chunk_key
 from tests.recorded_day import LARGE_ARRAY, RECORDED, recorded_world
-from tests.rules import OVER
 from tests.standins import encode
 from tests.stored_tasks import PARTS, Attempts, StoredTasks
+from tests.waiting import settle
 
 # Values, transactions and rates as they may be from some moment on.
 NEXT = {"value_kb": 2.0, "txn_ops": 4, "rps": 150.0, "write_rps": 40.0}
@@ -41,12 +41,8 @@
     world.clock.later(seconds(at), lambda: world.state.lower_limits(**NEXT))
 
 
-def settle(world, span=150.0):
-    end = max(world.clock.now(), world.calm) + seconds(span)
-    while world.clock.now() < end and any(world.told.get(job) not in OVER for job in world.jobs):
-        world.run(seconds(1))
-    open_jobs = {job: world.told.get(job) for job in world.jobs if world.told.get(job) not in OVER}
-    assert not open_jobs, open_jobs
+def settle_day(world):
+    settle(world, 150.0, after_troubles=True)
     # A transaction that was too large is never sent again unchanged.
     refused = world.state.too_large
     assert len(set(refused)) == len(refused)
@@ -64,7 +60,7 @@
     assert largest_value(world) > NEXT["value_kb"] * 1024
     world.run(seconds(30))
     assert world.counts["parts written"] > 3
-    settle(world)
+    settle_day(world)
     assert world.told[LARGE_ARRAY] == "done"
     assert not any(key.startswith((TASKS + LARGE_ARRAY, PARTS + LARGE_ARRAY)) for key in world.state.keys)
 
@@ -76,7 +72,7 @@
     world.clock.later(seconds(2.5), world.change_leaders, 8, seconds(16))
     world.run(seconds(30))
     assert world.counts["leaders"] > 3
-    settle(world)
+    settle_day(world)
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -91,7 +87,7 @@
         )
     world.run(seconds(30))
     assert world.counts["astray"] > 5
-    settle(world)
+    settle_day(world)
 
 
 @pytest.mark.parametrize("seed", range(2))
@@ -102,7 +98,7 @@
     for index in range(3):
         world.clock.later(seconds(3.5 + index / 2), world.restart, index, seconds(1 + index / 2))
     world.run(seconds(30))
-    settle(world)
+    settle_day(world)
 
 
 @settings(max_examples=8)
@@ -113,7 +109,7 @@
     for kind, at, length, hold, pick in faults:
         world.clock.later(seconds(at), do, world, kind, length, hold, pick)
     world.run(seconds(24))
-    settle(world)
+    settle_day(world)
 
 
 @pytest.mark.parametrize("seed", range(2))
@@ -122,7 +118,7 @@
     lower(world, 3.0)
     world.clock.later(seconds(3.3 + seed / 3), world.abort, LARGE_ARRAY)
     world.run(seconds(30))
-    settle(world)
+    settle_day(world)
     assert world.told[LARGE_ARRAY] == "aborted"
 
 
@@ -134,7 +130,7 @@
     leaders = world.counts["leaders"]
     world.run(seconds(30))
     assert world.counts["leaders"] == leaders
-    settle(world)
+    settle_day(world)
 
 
 def test_new_values_keep_to_the_next_limits_from_the_start():
@@ -152,7 +148,7 @@
     world.watch(world.submit(720, threads=120, vcpus=1.0, mem_gb=0.1, run_s=3.0))
     world.run(seconds(25))
     assert max(largest) <= NEXT["value_kb"] * 1024
-    settle(world)
+    settle_day(world)
 
 
 @pytest.mark.parametrize("seed", range(2))
@@ -168,7 +164,7 @@
                 decode_record(key, encode(value))
             if key.startswith(TASKS):
                 assert_speaks_for_its_tasks(world, key, value)
-    settle(world)
+    settle_day(world)
 
 
 def assert_speaks_for_its_tasks(world, key, value):
@@ -194,4 +190,4 @@
     for number in (2000, 2001):
         world.watch(world.submit(number, mem_gb=0.1, threads=1, awaits=first, crew="blue"))
         world.run(seconds(10))
-    settle(world)
+    settle_day(world)
--- a/tests/test_pipeline_meetings.py
+++ b/tests/test_pipeline_meetings.py
@@ -8,6 +8,7 @@
 from tests.pipelines import Pipelines, chain, diamond, fan_in, fan_out
 from tests.recorded_day import answers_everywhere
 from tests.stored_tasks import Attempts, StoredTasks
+from tests.waiting import run_until
 from tests.world import World
 
 TEAMS = tuple({"name": name, "cpus": 60.0, "cpus_max": 120.0} for name in ("red", "blue"))
@@ -27,13 +28,6 @@
     return world, Pipelines(world)
 
 
-def run_until(world, happened, most=60.0):
-    end = world.clock.now() + seconds(most)
-    while not happened() and world.clock.now() < end:
-        world.run(seconds(0.1))
-    assert happened()
-
-
 @pytest.mark.parametrize("before", [0.2, 0.9, 6.0])
 @pytest.mark.parametrize("seed", range(2))
 def test_an_ancestor_is_cancelled_as_its_last_task_ends_in_the_gap(seed, before):
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -14,6 +14,7 @@
 from tests.recorded_day import answers_everywhere
 from tests.rules import OVER
 from tests.standins import encode
+from tests.waiting import run_until
 from tests.world import World
 
 TEAMS = tuple({"name": name, "cpus": 40.0, "cpus_max": 80.0} for name in ("red", "blue"))
@@ -28,13 +29,6 @@
     return world, Pipelines(world)
 
 
-def run_until(world, happened, most=60.0):
-    end = world.clock.now() + seconds(most)
-    while not happened() and world.clock.now() < end:
-        world.run(seconds(0.1))
-    assert happened()
-
-
 def stages_of(world, jobs):
     """What all nodes say of each job: they must agree."""
     got = {}
--- a/tests/test_pipelines_after_roll.py
+++ b/tests/test_pipelines_after_roll.py
@@ -8,8 +8,8 @@
 from tests.pipelines import Pipelines, chain, diamond, fan_out
 from tests.production_writer import ProductionWriter
 from tests.recorded_day import LARGE_ARRAY, answers_everywhere, recorded_world
-from tests.rules import OVER
 from tests.stored_tasks import Attempts, StoredTasks
+from tests.waiting import settle
 from tests.world import World
 
 SMALL = {"threads": 1, "vcpus": 1.0, "mem_gb": 0.1, "run_s": 2.0}
@@ -31,14 +31,6 @@
     return next(job for job in sorted(world.told) if job != LARGE_ARRAY and world.told[job] == stage)
 
 
-def settle(world, span=120.0):
-    end = world.clock.now() + seconds(span)
-    while world.clock.now() < end and any(world.told.get(job) not in OVER for job in world.jobs):
-        world.run(seconds(1))
-    open_jobs = {job: world.told.get(job) for job in world.jobs if world.told.get(job) not in OVER}
-    assert not open_jobs, open_jobs
-
-
 @pytest.mark.parametrize("seed", range(2))
 def test_jobs_may_name_what_production_accepted_in_any_state(seed):
     world = rolled_world(700 + seed)
@@ -54,7 +46,7 @@
         job: body["stage"] for (_, job), (_, body) in answers_everywhere(world, [after_aborted]).items()
     }
     assert stages == {after_aborted: "aborted"}
-    settle(world)
+    settle(world, 120.0)
     assert [world.told[job] for job in (after_done, after_running, after_array)] == ["done"] * 3
     assert world.told[after_aborted] == "aborted" and after_aborted not in world.began
 
@@ -68,7 +60,7 @@
     world.abort(LARGE_ARRAY)
     world.run(seconds(3))
     assert world.told[job] == "aborted"
-    settle(world)
+    settle(world, 120.0)
 
 
 @pytest.mark.parametrize("seed", range(2))
--- a/tests/test_roll.py
+++ b/tests/test_roll.py
@@ -9,6 +9,7 @@
 from tests.recorded_day import LARGE_ARRAY, answers_everywhere, read_store, recorded_world
 from tests.rules import OVER
 from tests.stored_tasks import Attempts, StoredTasks
+from tests.waiting import settle
 
 # The node that leads at the recorded moment.
 OLD_LEADER = 1
@@ -49,14 +50,6 @@
     world.start_node(OLD_LEADER)
 
 
-def settle(world, span=100.0):
-    end = world.clock.now() + seconds(span)
-    while world.clock.now() < end and any(world.told.get(job) not in OVER for job in world.jobs):
-        world.run(seconds(1))
-    open_jobs = {job: world.told.get(job) for job in world.jobs if world.told.get(job) not in OVER}
-    assert not open_jobs, open_jobs
-
-
 @pytest.mark.parametrize("seed", range(3))
 def test_jobs_of_production_go_on_and_end_after_the_roll(seed):
     world, writer = begin_upgrade(500 + seed)
@@ -71,7 +64,7 @@
         stale = ProductionWriter(world)
         stale.mark = lambda key: 1
         stale.rewrite(production.chunk_key(LARGE_ARRAY, 0), lambda chunk: chunk)
-    settle(world)
+    settle(world, 100.0)
     assert sum(job >= f"job-{ACCEPTED_BY_PRODUCTION:06d}" for job in world.told) == 4
     for job, stage in recorded.items():
         assert world.told[job] == (stage if stage in OVER else "done"), job
@@ -117,7 +110,7 @@
         world.clock.later(seconds(4 + 4 * index), world.restart, index, seconds(1.5))
     world.run(seconds(20))
     assert world.counts["astray"] > 3
-    settle(world)
+    settle(world, 100.0)
 
 
 @pytest.mark.parametrize("seed", range(2))
@@ -129,4 +122,4 @@
     world.run(seconds(10))
     assert world.leader() not in (None, OLD_LEADER)
     world.start_node(OLD_LEADER)
-    settle(world)
+    settle(world, 100.0)
--- a/tests/upgrade_on_loopback.py
+++ b/tests/upgrade_on_loopback.py
@@ -7,27 +7,16 @@
 they were; jobs run under every leader, and pipelines once all are of this version.
 """
 
-import io
-import subprocess
-import tarfile
 import tempfile
 from pathlib import Path
 
 from tests.loopback import ROOT, Loopback, pause, run_in_reactor
 from tests.production import LEADER
-from tests.versions import production_commit
+from tests.versions import extract_production
 
 LIMIT_S = 380
 
 
-def extract_production(folder):
-    """Puts a checkout of the version in production there."""
-    command = ["git", "-C", str(ROOT), "archive", production_commit()]
-    archive = subprocess.run(command, check=True, capture_output=True).stdout
-    with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
-        tar.extractall(folder, filter="data")
-
-
 def leader(world):
     """The number of the controller that the store says leads; None if there is none."""
     entry = world.state.keys.get(LEADER)
--- a/tests/versions.py
+++ b/tests/versions.py
@@ -75,17 +75,22 @@
     return (ROOT / ".git").exists()
 
 
+def extract_production(folder: Path) -> None:
+    """Puts the sources of the version in production there."""
+    command = ["git", "-C", str(ROOT), "archive", production_commit()]
+    archive = subprocess.run(command, check=True, capture_output=True).stdout
+    with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
+        tar.extractall(folder, filter="data")
+
+
 @cache
 def production() -> Version:
     """The version in production, imported from a copy that lives as long as this process. Raises
     CalledProcessError if the history lacks its commit."""
-    command = ["git", "-C", str(ROOT), "archive", production_commit(), PACKAGE]
-    archive = subprocess.run(command, check=True, capture_output=True).stdout
     folder = Path(_copies().name)
-    with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
-        tar.extractall(folder, filter="data")
+    extract_production(folder)
     # Only imports are renamed: the names of loggers and stored keys stay.
-    for file in folder.rglob("*.py"):
+    for file in (folder / PACKAGE).rglob("*.py"):
         file.write_text(
             _IMPORT.sub(rf"\1{PRODUCTION_PACKAGE}", file.read_text(encoding="utf-8")), encoding="utf-8"
         )
