--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -80,6 +81,8 @@
         self.outside = Outside()
         self.workers: dict[str, Worker] = {}
         self.nodes: dict[str, str] = {}
+        # Chooses the controller that a new worker reports to first.
+        self.first_node: Callable[[], str] = lambda: random.choice(self.site.nodes)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._folder = tempfile.TemporaryDirectory()
         # How often the platform has ended a controller for memory, and the most memory seen, by controller.
@@ -209,7 +212,7 @@
         workers = self.site.params["workers"]
         times = Times(workers["report_s"], workers["lease_s"])
         worker = self.workers[machine.name] = Worker(
-            place, times, self.nodes, random.choice(self.site.nodes), self.outside, self.record
+            place, times, self.nodes, self.first_node(), self.outside, self.record
         )
         return await worker.start()
 
