Review: memory is counted where the system doesn't tell a process's private part

The platform's stand-in read one field only. It falls back to the resident pages that aren't shared.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -67,10 +67,13 @@
     """The memory in MB (of 1,048,576 bytes) that belongs to a process alone; 0 if it has ended."""
     try:
         lines = Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines()
-    except OSError:
+        _, resident, shared = (int(pages) for pages in Path(f"/proc/{pid}/statm").read_text().split()[:3])
+    except (OSError, ValueError):
         return 0.0
-    held_kib = sum(int(line.split()[1]) for line in lines if line.startswith("RssAnon:"))
-    return held_kib / 1024
+    for line in lines:
+        if line.startswith("RssAnon:"):
+            return int(line.split()[1]) / 1024
+    return (resident - shared) * os.sysconf("SC_PAGE_SIZE") / 1024**2
 
 
 class Deployment:
