--- a/review/world/deployment.py
+++ b/review/world/deployment.py
@@ -346,9 +346,9 @@
         self.note("user", node=name, request=f"{method} {path}", answer=answer)
         return reply
 
-    async def submit(self, spec: dict[str, Any], run_s: float) -> None:
+    async def submit(self, spec: dict[str, Any], run_s: float, fails: bool = False) -> None:
         """Uploads the description of a job and submits it, with retries as on the protocol page."""
-        self.jobs[spec["ref"]] = Job(spec, run_s)
+        self.jobs[spec["ref"]] = Job(spec, run_s, fails=fails)
         end = time.monotonic() + 60
         while time.monotonic() < end:
             reply = await self.ask("POST", "/submissions", spec)
@@ -359,6 +359,16 @@
             await asyncio.sleep(1.0)
         raise CannotRunError(f"{spec['ref']} was not accepted")
 
+    async def cancel(self, ref: str) -> None:
+        """Cancels a job, and repeats the request until it is confirmed."""
+        end = time.monotonic() + 60
+        while time.monotonic() < end:
+            reply = await self.ask("POST", f"/submissions/{ref}/abort")
+            if reply is not None and reply.status == 200:
+                return
+            await asyncio.sleep(1.0)
+        raise CannotRunError(f"{ref} was not cancelled")
+
     async def stage(self, ref: str) -> str | None:
         """The stage of a job, as a user is told; None if there was no answer."""
         reply = await self.ask("GET", f"/submissions/{ref}")
