End a machine's quarantine when the jobs that failed there are cancelled

Cause: a quarantine was looked at again only when a job that counted against the machine failed on a second one. A cancelled job never runs again, so it counted for ever, and the machine is terminated only once nothing runs there. The leader's log shows the quarantine, both cancellations 0.8 s later, and then "machines_unusable=[quarantined: 1]" until the end. Related paths with the same cause: a task that failed after its job was cancelled counted too; and where a job had a task done on the machine later, it ceased to count without the quarantine being looked at.

Change: FailureTracker alone changes the failures that count, and updates the quarantine with each change. A cancelled job does not count. A cancellation does not show that the machine is sound, so it stays quarantined while another failure counts, and is on probation until a task is done there: then the failure of one job quarantines it.

Package tests pass.

--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -69,7 +69,7 @@
     # How long a follower collects heartbeats before it relays them in one message.
     relay_window_s: Seconds = 0.02
     # Number of different jobs whose tasks must have failed on a machine before it is quarantined and
-    # terminated.
+    # terminated. A job that is cancelled or fails on a second machine does not count.
     quarantine_after_failed_jobs: Count = msgspec.field(name="faulty_jobs", default=2)
     # Backoff of a job whose tasks fail on several machines, doubled each time up to the maximum. After the
     # backoff the tasks are tried one at a time until one of them has run for longer than the backoff, or is
--- a/spindleglade/workers/attempt_outcomes.py
+++ b/spindleglade/workers/attempt_outcomes.py
@@ -27,10 +27,10 @@
 class AttemptOutcomes:
     """Applies the status of single attempts to the cluster state. Called with the lock held."""
 
-    def __init__(self, data: ClusterData, changes: StateChanges) -> None:
+    def __init__(self, data: ClusterData, changes: StateChanges, failures: FailureTracker) -> None:
         self._data = data
         self._changes = changes
-        self._failures = FailureTracker(data)
+        self._failures = failures
 
     def on_attempt_listed(
         self, machine: Machine, attempt: Attempt, status: TaskStatus, now: timedelta
@@ -93,7 +93,7 @@
         if attempt.running_since is not None and ran_from_start:
             self._data.predictor.add(job.spec.team, now - attempt.running_since)
             self._data.teams_with_new_runs.add(job.spec.team)
-        machine.failed_jobs.discard(job.id)
+        self._failures.on_task_done(machine, job)
         job.backoff = timedelta(0)
 
     def _stop_other_tasks_of_gang(self, exited: Attempt) -> None:
--- a/spindleglade/workers/cluster_state.py
+++ b/spindleglade/workers/cluster_state.py
@@ -15,8 +15,10 @@
 from spindleglade.runtime.clock import ZERO
 from spindleglade.settings.platform import Team
 from spindleglade.submissions.records import JobRecord, TaskRangeRecord
+from spindleglade.workers.attempt_outcomes import AttemptOutcomes
 from spindleglade.workers.cluster_data import ClusterData, DataField
 from spindleglade.workers.command_selection import CommandSelection, DirectCommands
+from spindleglade.workers.failure_tracker import FailureTracker
 from spindleglade.workers.heartbeat_reconciliation import HeartbeatReconciliation
 from spindleglade.workers.job_updates import JobUpdates
 from spindleglade.workers.jobs import Job, PipelineMember
@@ -63,14 +65,16 @@
         data = ClusterData(token, policy, teams, machine_types, predictor, now)
         changes = StateChanges(data)
         commands = CommandSelection(data, changes)
+        failures = FailureTracker(data)
+        outcomes = AttemptOutcomes(data, changes, failures)
         usability = MachineUsability(data)
         self._data = data
         self._changes = changes
         self._commands = commands
         self._usability = usability
-        self._heartbeats = HeartbeatReconciliation(data, changes, commands)
+        self._heartbeats = HeartbeatReconciliation(data, changes, commands, outcomes)
         self._machine_registry = MachineRegistry(data, changes)
-        self._job_updates = JobUpdates(data, changes)
+        self._job_updates = JobUpdates(data, changes, failures)
         self._recovery = StateRecovery(data, changes)
         self._write_queue = WriteQueue(data)
         self._planning = PlanningBridge(data, changes, usability)
--- a/spindleglade/workers/failure_tracker.py
+++ b/spindleglade/workers/failure_tracker.py
@@ -10,8 +10,19 @@
 log = logging.getLogger("spindleglade.workers")
 
 
+# The number of jobs whose failures quarantine a machine that is on probation.
+FAILED_JOBS_ON_PROBATION = 1
+
+
 class FailureTracker:
-    """Distinguishes faulty machines from faulty jobs. Called with the lock held."""
+    """Distinguishes faulty machines from faulty jobs. Called with the lock held.
+
+    A failure counts against the machine until it is explained. It is explained if the job fails on a second
+    machine too, which shows that the job is at fault, or withdrawn without a proof: the job is cancelled, or
+    another task of it is done on the machine. After a failure was withdrawn the machine is on probation, and
+    the failure of a single job quarantines it, until a task is done there. Otherwise a faulty machine would
+    fail one job after the other, since users cancel jobs that fail.
+    """
 
     def __init__(self, data: ClusterData) -> None:
         self._data = data
@@ -23,6 +34,9 @@
         quarantined. If a job fails on several machines, it is paused, and its failures no longer count
         against any machine, so that a machine quarantined because of them is used again.
         """
+        if job.cancelled:
+            # The cancellation would have withdrawn the failure.
+            return
         job.failed_on.add(machine.name)
         job.avoided_machines.add(machine.name)
         if len(job.failed_on) > 1:
@@ -30,23 +44,50 @@
             self._clear_failures_of(job)
             return
         machine.failed_jobs.add(job.id)
-        if self._has_too_many_failures(machine) and not machine.quarantined:
-            machine.quarantined = True
-            log.info("machine quarantined machine=%s jobs=%s", machine.name, sorted(machine.failed_jobs))
+        self._update_quarantine(machine, job)
+
+    def on_task_done(self, machine: Machine, job: Job) -> None:
+        """Withdraws an earlier failure of the job on the machine, and ends the machine's probation."""
+        self._withdraw_failure(machine, job)
+        if not machine.quarantined:
+            machine.on_probation = False
+
+    def on_job_cancelled(self, job: Job) -> None:
+        """Withdraws the failures of the job."""
+        for machine in self._machines_with_failures_of(job):
+            self._withdraw_failure(machine, job)
+
+    def _machines_with_failures_of(self, job: Job) -> list[Machine]:
+        """The machines that a failure of the job counts against."""
+        known = [self._data.machines[name] for name in job.failed_on if name in self._data.machines]
+        return [machine for machine in known if job.id in machine.failed_jobs]
 
     def _clear_failures_of(self, job: Job) -> None:
-        """Removes the job from the failed jobs of all machines."""
-        for name in job.failed_on:
-            machine = self._data.machines.get(name)
-            if machine is None or job.id not in machine.failed_jobs:
-                continue
+        """Removes the job, which is at fault, from the failed jobs of all machines."""
+        for machine in self._machines_with_failures_of(job):
             machine.failed_jobs.discard(job.id)
-            if machine.quarantined and not self._has_too_many_failures(machine):
-                machine.quarantined = False
-                log.info("machine no longer quarantined machine=%s job=%s", name, job.id)
+            self._update_quarantine(machine, job)
+
+    def _withdraw_failure(self, machine: Machine, job: Job) -> None:
+        """Removes the job from the failed jobs of the machine without a proof that the machine is sound."""
+        if job.id not in machine.failed_jobs:
+            return
+        machine.failed_jobs.discard(job.id)
+        machine.on_probation = True
+        self._update_quarantine(machine, job)
 
-    def _has_too_many_failures(self, machine: Machine) -> bool:
-        return len(machine.failed_jobs) >= self._data.policy.quarantine_after_failed_jobs
+    def _update_quarantine(self, machine: Machine, job: Job) -> None:
+        """Begins or ends the machine's quarantine after a failure of the job was recorded or removed."""
+        policy = self._data.policy
+        limit = FAILED_JOBS_ON_PROBATION if machine.on_probation else policy.quarantine_after_failed_jobs
+        is_quarantined = len(machine.failed_jobs) >= limit
+        if is_quarantined == machine.quarantined:
+            return
+        machine.quarantined = is_quarantined
+        if is_quarantined:
+            log.info("machine quarantined machine=%s jobs=%s", machine.name, sorted(machine.failed_jobs))
+        else:
+            log.info("machine no longer quarantined machine=%s job=%s", machine.name, job.id)
 
     def pause_job(self, job: Job, now: timedelta) -> None:
         """Pauses the placement of the job's tasks. Each pause is twice as long as the one before, up to a
--- a/spindleglade/workers/heartbeat_reconciliation.py
+++ b/spindleglade/workers/heartbeat_reconciliation.py
@@ -30,11 +30,17 @@
 class HeartbeatReconciliation:
     """Applies heartbeats to the cluster state and selects the responses. Called with the lock held."""
 
-    def __init__(self, data: ClusterData, changes: StateChanges, commands: CommandSelection) -> None:
+    def __init__(
+        self,
+        data: ClusterData,
+        changes: StateChanges,
+        commands: CommandSelection,
+        outcomes: AttemptOutcomes,
+    ) -> None:
         self._data = data
         self._changes = changes
         self._commands = commands
-        self._outcomes = AttemptOutcomes(data, changes)
+        self._outcomes = outcomes
 
     def on_heartbeat(self, heartbeat: Heartbeat, now: timedelta, renews_lease: bool) -> list[Command] | None:
         """Applies a heartbeat. Returns the commands of the response, or None if the machine is terminated or
--- a/spindleglade/workers/job_updates.py
+++ b/spindleglade/workers/job_updates.py
@@ -7,6 +7,7 @@
 from spindleglade.submissions.records import JobRecord, JobState
 from spindleglade.workers.attempts import EndReason, StopReason
 from spindleglade.workers.cluster_data import ClusterData
+from spindleglade.workers.failure_tracker import FailureTracker
 from spindleglade.workers.jobs import Job, PipelineMember, estimate
 from spindleglade.workers.state_changes import StateChanges
 
@@ -14,9 +15,10 @@
 class JobUpdates:
     """Applies changes of jobs to the cluster state. Called with the lock held."""
 
-    def __init__(self, data: ClusterData, changes: StateChanges) -> None:
+    def __init__(self, data: ClusterData, changes: StateChanges, failures: FailureTracker) -> None:
         self._data = data
         self._changes = changes
+        self._failures = failures
 
     def observe_job(self, record: JobRecord, mod_revision: int, now: timedelta, age: timedelta) -> None:
         """Applies a job record, loaded after the election or observed as a later change. `age` is the time
@@ -54,6 +56,7 @@
 
     def _cancel_job(self, job: Job) -> None:
         job.cancelled = True
+        self._failures.on_job_cancelled(job)
         for attempt in job.placed.values():
             self._changes.stop_attempt(attempt, StopReason.CANCELLED, 0.0)
         self._changes.end_unsent_attempts(job, EndReason.CANCELLED_BEFORE_START)
--- a/spindleglade/workers/machines.py
+++ b/spindleglade/workers/machines.py
@@ -73,6 +73,9 @@
     # When the cloud terminates it, as announced by a heartbeat; None without an announcement.
     terminates_at: timedelta | None = None
     quarantined: bool = False
+    # Whether a failure here was withdrawn, which does not show that the machine is sound, and no task was
+    # done here since. The failure of a single job then quarantines it.
+    on_probation: bool = False
     # Whether the leader has asked the cloud to terminate it, after which nothing is placed on it.
     terminating: bool = False
     # No task is placed on the machine before this time, because it has rejected a start.
@@ -86,7 +89,8 @@
     unacknowledged_starts: dict[AttemptKey, timedelta] = field(default_factory=dict)
     # Attempts that occupy the machine but are not placed there, with their states.
     unexpected_attempts: dict[AttemptKey, str] = field(default_factory=dict)
-    # Jobs that count against the machine: a task of each has failed here, and none on another machine.
+    # Jobs that count against the machine: a task of each has failed here and none on another machine, and the
+    # job was not cancelled since.
     failed_jobs: set[str] = field(default_factory=set)
     # Images in its cache and their sizes in GB, least recently used first.
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)
--- a/spindleglade/workers/test_failure_tracker.py
+++ b/spindleglade/workers/test_failure_tracker.py
@@ -74,6 +74,158 @@
         harness.send_heartbeat(*[(task, attempt, *state) for task, attempt in tasks], machine=machine)
 
 
+class SimulatedMachines:
+    """Three machines that execute commands and list all their tasks, and jobs that run there."""
+
+    def __init__(self):
+        self.harness = Harness()
+        self.cluster = self.harness.cluster
+        self.tasks = {name: {} for name in ("n-1", "n-2", "n-3")}
+        self.revision = 1
+        for name in self.tasks:
+            self.send_heartbeat(name)
+
+    def send_heartbeat(self, machine="n-1"):
+        """Sends the list of all tasks on the machine, and executes the commands of the response."""
+        tasks = self.tasks[machine]
+        statuses = [(task, attempt, *state) for (task, attempt), state in tasks.items()]
+        for command in self.harness.send_heartbeat(*statuses, machine=machine):
+            key = (command.task, command.attempt)
+            if command.operation == "start":
+                tasks[key] = ("running",)
+            elif command.operation == "clear":
+                tasks.pop(key, None)
+
+    def observe(self, job, state):
+        self.revision += 1
+        self.cluster.observe_job(JobRecord(state, spec(job, 9), 9), self.revision)
+
+    def try_start(self, job, machine="n-1"):
+        """Has a plan start a task of the job on the machine. Returns whether the machine may be used."""
+        if job not in self.cluster.jobs:
+            self.observe(job, "open")
+        index = self.cluster.jobs[job].waiting_tasks(1)[0]
+        placed = self.cluster.apply_plan(Plan(placements=[Placement(job, index, machine)]), self.harness.now)
+        self.harness.commit_writes()
+        self.send_heartbeat(machine)
+        self.send_heartbeat(machine)
+        return placed == 1
+
+    def start(self, job, machine="n-1"):
+        assert self.try_start(job, machine)
+
+    def end(self, job, cause, machine="n-1"):
+        """Ends a running task of the job on the machine for this cause, and reports it."""
+        tasks = self.tasks[machine]
+        running = next(
+            key for key, state in tasks.items() if key[0].startswith(f"{job}/") and state == ("running",)
+        )
+        tasks[running] = ("exited", cause)
+        self.send_heartbeat(machine)
+        self.harness.commit_writes()
+        self.send_heartbeat(machine)
+
+    def fail(self, job, machine="n-1"):
+        self.start(job, machine)
+        self.end(job, "error", machine)
+
+    def cancel(self, job):
+        self.observe(job, "aborted")
+
+    def is_quarantined(self):
+        return self.cluster.machines["n-1"].quarantined
+
+
+def test_a_machine_leaves_quarantine_once_the_jobs_that_failed_there_are_cancelled():
+    """Guards against work that waits for a sound machine where only cancelled jobs failed (review case 6)."""
+    machines = SimulatedMachines()
+    machines.start("job-8")
+    machines.fail("job-2")
+    machines.fail("job-3")
+    assert machines.is_quarantined() and not machines.try_start("job-9")
+    machines.cancel("job-2")
+    assert machines.is_quarantined()
+    machines.cancel("job-3")
+    assert not machines.is_quarantined() and machines.try_start("job-9")
+
+
+def test_a_machine_stays_in_quarantine_while_another_failure_there_is_unexplained():
+    """Guards against a faulty machine that is used again since some jobs that failed there are cancelled."""
+    machines = SimulatedMachines()
+    jobs = ("job-2", "job-3", "job-4")
+    for job in jobs:
+        machines.start(job)
+    for job in jobs:
+        machines.end(job, "error")
+    machines.cancel("job-2")
+    machines.cancel("job-3")
+    # job-4 is done on another machine, which shows that this one is at fault.
+    machines.start("job-4", "n-2")
+    machines.end("job-4", "done", "n-2")
+    assert machines.is_quarantined() and not machines.try_start("job-9")
+
+
+def test_a_machine_whose_failures_were_cancelled_is_quarantined_by_the_next_failure():
+    """Guards against a faulty machine that fails job after job, each of which its user cancels."""
+    machines = SimulatedMachines()
+    for number in range(2, 7):
+        machines.fail(f"job-{number}")
+        assert machines.is_quarantined() == (number > 2)
+        machines.cancel(f"job-{number}")
+        assert not machines.is_quarantined()
+    machines.fail("job-7")
+    assert machines.is_quarantined() and not machines.try_start("job-9")
+
+
+def test_a_task_done_on_a_machine_ends_its_probation():
+    """Guards against a sound machine that is quarantined by each single failure from then on."""
+    machines = SimulatedMachines()
+    machines.start("job-4")
+    machines.fail("job-2")
+    machines.fail("job-3")
+    machines.cancel("job-2")
+    machines.cancel("job-3")
+    machines.end("job-4", "done")
+    machines.fail("job-5")
+    assert not machines.is_quarantined() and machines.try_start("job-9")
+
+
+def test_a_machine_quarantined_on_probation_is_used_again_once_the_job_fails_elsewhere():
+    """Guards against a sound machine that stays out of use because of a job that fails on every machine."""
+    machines = SimulatedMachines()
+    machines.fail("job-2")
+    machines.cancel("job-2")
+    machines.fail("job-3")
+    assert machines.is_quarantined()
+    machines.fail("job-3", "n-2")
+    assert not machines.is_quarantined() and machines.try_start("job-9")
+
+
+def test_a_task_that_fails_after_its_job_was_cancelled_does_not_count_against_the_machine():
+    """Guards against a quarantine that nothing ends: the cancellations came before the failures."""
+    machines = SimulatedMachines()
+    for job in ("job-2", "job-3"):
+        machines.start(job)
+        machines.cancel(job)
+    for job in ("job-2", "job-3"):
+        machines.end(job, "error")
+    assert not machines.is_quarantined() and machines.try_start("job-9")
+
+
+def test_a_machine_leaves_quarantine_once_all_jobs_that_failed_there_have_a_task_done_there():
+    """Guards against a quarantine that nothing ends because none of its failures counts any more."""
+    machines = SimulatedMachines()
+    for job in ("job-2", "job-3"):
+        machines.start(job)
+        machines.start(job)
+    for job in ("job-2", "job-3"):
+        machines.end(job, "error")
+    machines.end("job-2", "done")
+    assert machines.is_quarantined()
+    machines.end("job-3", "done")
+    assert not machines.is_quarantined() and machines.try_start("job-9")
+
+
 def test_a_job_that_fails_everywhere_is_probed_with_one_task_at_a_time():
     """Otherwise all its tasks would start and fail again at the end of each pause."""
     harness = Harness()
