Reject late copies of a start: forget an attempt only under a higher token

Cause: a worker that has been told to forget an attempt executes its start again while token and incarnation match. Attempts started directly that did not end as done were therefore never forgotten in an incarnation; those that were done were, as a copy "only lists the exit once more". It starts the task.

Change: each term owns a block of tokens, reserved by the election's transaction. The leader raises the token of a machine in the response that tells it to forget attempts whose start was sent directly, so the worker answers copies of those starts with 409 from then on. It is not raised while a direct message is in flight. This holds for every end of an attempt, so nothing is kept for an incarnation for this reason any more.

LossyWorker has copies now. test_a_higher_token_raises_a_stale_token_error asks for the first token of the next term in place of the next number, since the numbers in between belong to the leader; it also asks that its last one does not.

--- a/spindleglade/controller/running_leader.py
+++ b/spindleglade/controller/running_leader.py
@@ -124,13 +124,13 @@
         changes_before = self.cluster.change_count
         may_renew = self._cancellation_freshness.permits_renewals
         try:
-            commands = self.cluster.on_heartbeat(heartbeat, self._clock.now(), renews_lease=may_renew)
+            response = self.cluster.on_heartbeat(heartbeat, self._clock.now(), renews_lease=may_renew)
         except StaleTokenError as error:
             self._on_deposed(str(error))
             return None
         if self.cluster.change_count != changes_before:
             self._on_cluster_changed()
-        return None if commands is None or not may_renew else HeartbeatResponse(self.term.token, commands)
+        return response if may_renew else None
 
     def _create_state_writer(self) -> StateWriter:
         return StateWriter(
--- a/spindleglade/leadership/election.py
+++ b/spindleglade/leadership/election.py
@@ -2,8 +2,8 @@
 
 The mod_revision of the leader key makes leadership safe: every write of a leader is conditional on it, so the
 writes of a deposed leader fail. The lease only determines when other controllers may campaign. The fencing
-token that workers see is a counter in the store. It is raised in the transaction that writes the leader key,
-so it never repeats and never decreases.
+token that workers see is a counter in the store. The transaction that writes the leader key raises it by the
+tokens of one term, so tokens never repeat and never decrease.
 """
 
 import logging
@@ -15,7 +15,14 @@
 import msgspec
 
 from spindleglade.leadership.lease_renewal import LeaseRenewer
-from spindleglade.leadership.term import LEADER_KEY, TOKEN_KEY, LeaderRecord, Term, TokenRecord
+from spindleglade.leadership.term import (
+    LEADER_KEY,
+    TOKEN_KEY,
+    LeaderRecord,
+    Term,
+    TokenRecord,
+    last_token_of_term,
+)
 from spindleglade.runtime.background import run_forever, run_in_background
 from spindleglade.runtime.clock import Clock, sleep
 from spindleglade.store.client import StateClient
@@ -82,7 +89,7 @@
         self.leader: LeaderRecord | None = None
         # The revision of the latest known change of the leader key, deletions included.
         self._leader_key_revision = 0
-        # The token of the last election, as stored under the token key.
+        # The highest token of the latest term, as stored under the token key.
         self._stored_token = 0
         # The token of the leader whose process appears to have ended; None if there is none.
         self._ended_leader_token: int | None = None
@@ -104,9 +111,9 @@
             self.observe_token(self._stored_token)
 
     def observe_token(self, token: int) -> None:
-        """Records a token in use, and steps down if it is higher than the token of this controller's term."""
+        """Records a token in use, and steps down if it is above the tokens of this controller's term."""
         self.highest_token = max(self.highest_token, token)
-        if self.term is not None and token > self.term.token:
+        if self.term is not None and token > self.term.last_token:
             self.step_down(f"higher token {token} observed")
 
     def step_down(self, reason: str) -> None:
@@ -210,17 +217,18 @@
         ]
         lease = await self._client.grant_lease(self._lease_ttl)
         token = max(self._stored_token, self.highest_token) + 1
+        last_token = last_token_of_term(token)
         result = await self._client.compare_and_swap(
             conditions,
             [
                 Put(LEADER_KEY, encode_value(LeaderRecord(self._controller, token)), lease),
-                Put(TOKEN_KEY, encode_value(TokenRecord(token))),
+                Put(TOKEN_KEY, encode_value(TokenRecord(last_token))),
             ],
             urgent=True,
         )
         if not isinstance(result, Committed):
             await self._client.revoke_lease(lease)
-        elif self._leader_key_revision > result.revision or self.highest_token > token:
+        elif self._leader_key_revision > result.revision or self.highest_token > last_token:
             # The replica has delivered the change that ended this term before the store's response arrived.
             # It is not delivered again, so a term that began now would not end.
             log.info("not elected token=%d reason=the term ended before the store's response came", token)
--- a/spindleglade/workers/attempt_outcomes.py
+++ b/spindleglade/workers/attempt_outcomes.py
@@ -80,7 +80,7 @@
             job,
             attempt.index,
             job.version(attempt.index),
-            attempt.started_directly and status.cause != ExitCause.DONE,
+            attempt.direct_start_token,
         )
 
     def _on_task_done(self, machine: Machine, attempt: Attempt, now: timedelta) -> None:
@@ -134,6 +134,8 @@
         if status.is_on_machine:
             machine.unexpected_attempts[key] = status.state
             return
+        # How the attempt was started is not known, so it may have been by a direct message of this leader.
+        start_token = self._data.message_token(machine)
         job = self._data.jobs.get(job_id)
         if (
             status.cause == ExitCause.DONE
@@ -145,9 +147,9 @@
             job.task_states[index] = DONE
             job.done_count += 1
             self._changes.mark_task_changed(job, index)
-            machine.exited[key] = ExitedAttempt(job, index, job.version(index))
+            machine.exited[key] = ExitedAttempt(job, index, job.version(index), start_token)
         else:
-            machine.exited[key] = ExitedAttempt(None, 0, 0)
+            machine.exited[key] = ExitedAttempt(None, 0, 0, start_token)
 
     def _add_image(self, machine: Machine, job: Job) -> None:
         """Adds the job's image to the machine's cached images, and removes the least recently used images
--- a/spindleglade/workers/attempts.py
+++ b/spindleglade/workers/attempts.py
@@ -81,8 +81,9 @@
     lost_starts: int = 0
     # Whether the attempt was loaded from the store, so that it is not known if and how its start was sent.
     is_recovered: bool = False
-    # Whether a start was sent directly to the machine; the network may deliver a copy of that message later.
-    started_directly: bool = False
+    # The token of the latest direct message with a start of this attempt; None if there was none. The network
+    # may deliver a copy of that message later.
+    direct_start_token: int | None = None
     # Whether its job was overdue when the plan that placed it was applied.
     started_overdue: bool = False
     # Why the attempt is to be stopped (None: it is not), and how many seconds it may then take to save.
@@ -105,17 +106,17 @@
 @dataclass(slots=True, eq=False)
 class ExitedAttempt:
     """An exited attempt that the worker still lists. Once its end is recorded, the worker is told to forget
-    it, unless `never_forget` is set."""
+    it."""
 
     # None if the end of the attempt needs no record; `index` and `version` are unused then.
     job: "Job | None"
     index: int
     # The end is recorded once this version of the task range is committed.
     version: int
-    # Whether the worker must not forget the attempt in this incarnation. Once it is forgotten, a late copy of
-    # its start would run it again, beside a newer attempt or after its job was cancelled. If the task is
-    # done, a late copy only makes the worker list the exit once more.
-    never_forget: bool = False
+    # The highest token with which a copy of a start of the attempt may still arrive; None if none can. The
+    # worker may forget the attempt only under a higher token. Otherwise the copy would run it again, beside a
+    # newer attempt or after its job was cancelled.
+    start_token: int | None
 
     @property
     def is_recorded(self) -> bool:
--- a/spindleglade/workers/cluster_data.py
+++ b/spindleglade/workers/cluster_data.py
@@ -17,6 +17,7 @@
 class ClusterData:
     """Jobs, machines, and their pending writes and commands. Read and changed only with the lock held."""
 
+    # The first token of this leader's term.
     token: int
     policy: WorkerPolicy
     teams: dict[str, Team]
@@ -53,6 +54,10 @@
     # Incremented with each change that planning or the state writer may have to act on.
     change_count: int = 0
 
+    def message_token(self, machine: Machine) -> int:
+        """The token that messages to the machine carry now."""
+        return self.token + machine.token_raises
+
     def __post_init__(self) -> None:
         self.last_heartbeat_at = self.started_at
         self.latest_start = self.started_at
--- a/spindleglade/workers/cluster_state.py
+++ b/spindleglade/workers/cluster_state.py
@@ -25,7 +25,7 @@
 from spindleglade.workers.machine_registry import MachineRegistry
 from spindleglade.workers.machine_usability import MachineUsability
 from spindleglade.workers.machines import Machine, MachineLocation, MachineReachability, MachineTypeCapacity
-from spindleglade.workers.messages import Command, Heartbeat
+from spindleglade.workers.messages import Command, Heartbeat, HeartbeatResponse
 from spindleglade.workers.planning_bridge import PlanningBridge
 from spindleglade.workers.policy import WorkerPolicy
 from spindleglade.workers.reasons import MachineUnusableReason, SchedulingStall
@@ -91,8 +91,10 @@
 
     # Machines.
 
-    def on_heartbeat(self, heartbeat: Heartbeat, now: timedelta, renews_lease: bool) -> list[Command] | None:
-        """Applies a heartbeat. Returns the commands for the response, or None if it must not be answered."""
+    def on_heartbeat(
+        self, heartbeat: Heartbeat, now: timedelta, renews_lease: bool
+    ) -> HeartbeatResponse | None:
+        """Applies a heartbeat. Returns the response, or None if it must not be answered."""
         with self.lock:
             return self._heartbeats.on_heartbeat(heartbeat, now, renews_lease)
 
--- a/spindleglade/workers/command_dispatcher.py
+++ b/spindleglade/workers/command_dispatcher.py
@@ -17,7 +17,7 @@
 from spindleglade.workers.cluster_state import ClusterState
 from spindleglade.workers.errors import StaleTokenError
 from spindleglade.workers.machines import Machine
-from spindleglade.workers.messages import Command, CommandBatch, Heartbeat, decode_heartbeat
+from spindleglade.workers.messages import CommandBatch, Heartbeat, decode_heartbeat
 
 log = logging.getLogger("spindleglade.workers")
 
@@ -95,10 +95,10 @@
         """Sends all commands that cannot wait for a machine's next heartbeat."""
         if self._stopped:
             return
-        for machine, incarnation, commands in self._cluster.take_direct_commands(
+        for machine, batch in self._cluster.take_direct_commands(
             self._cancellation_freshness.permits_renewals
         ):
-            run_in_background(self._send_commands(machine, incarnation, commands), "command dispatch")
+            run_in_background(self._send_commands(machine, batch), "command dispatch")
 
     def introduce_leader(self, address: str, incarnation: int) -> None:
         """Sends a machine the new token and requests the list of its tasks. No command may be sent to the
@@ -114,9 +114,9 @@
 
     async def _introduce_leader(self, address: str, incarnation: int) -> None:
         for _ in range(MAX_INTRODUCTION_ATTEMPTS):
-            body = self._encode_commands(incarnation, [])
+            batch = CommandBatch(self._cluster.token, incarnation, [])
             try:
-                response = await self._post_commands(address, body)
+                response = await self._post_commands(address, batch)
             except NoResponseError as error:
                 log.info("leader introduction failed address=%s reason=%s", address, error)
                 return
@@ -125,11 +125,11 @@
                 return
             incarnation = heartbeat.incarnation
 
-    async def _send_commands(self, machine: Machine, incarnation: int, commands: list[Command]) -> None:
-        delivery = await self._deliver(machine, incarnation, commands)
+    async def _send_commands(self, machine: Machine, batch: CommandBatch) -> None:
+        delivery = await self._deliver(machine, batch)
         self._cluster.on_commands_sent(
             machine,
-            commands,
+            batch.commands,
             delivery.outcome is DeliveryOutcome.UNKNOWN,
             self._clock.now(),
             delivery.outcome is not DeliveryOutcome.UNREACHABLE,
@@ -138,10 +138,9 @@
             self._cluster.on_machine_reached(machine, self._clock.now())
             self._apply_response(delivery.response, machine.address)
 
-    async def _deliver(self, machine: Machine, incarnation: int, commands: list[Command]) -> Delivery:
-        body = self._encode_commands(incarnation, commands)
+    async def _deliver(self, machine: Machine, batch: CommandBatch) -> Delivery:
         try:
-            response = await self._post_commands(machine.address, body)
+            response = await self._post_commands(machine.address, batch)
         except ConnectionLimitError as error:
             # The commands go out with the response to the machine's next heartbeat, or directly once more.
             log.info("commands not sent machine=%s reason=%s", machine.name, error)
@@ -151,7 +150,10 @@
             return Delivery(DeliveryOutcome.UNREACHABLE)
         except NoResponseError as error:
             log.info(
-                "commands unanswered machine=%s commands=%d reason=%s", machine.name, len(commands), error
+                "commands unanswered machine=%s commands=%d reason=%s",
+                machine.name,
+                len(batch.commands),
+                error,
             )
             return Delivery(DeliveryOutcome.UNKNOWN)
         except Exception:
@@ -161,10 +163,8 @@
         definite = response.status in DEFINITE_STATUSES
         return Delivery(DeliveryOutcome.ANSWERED if definite else DeliveryOutcome.UNKNOWN, response)
 
-    def _encode_commands(self, incarnation: int, commands: list[Command]) -> bytes:
-        return msgspec.json.encode(CommandBatch(self._cluster.token, incarnation, commands))
-
-    async def _post_commands(self, address: str, body: bytes) -> ClientResponse:
+    async def _post_commands(self, address: str, batch: CommandBatch) -> ClientResponse:
+        body = msgspec.json.encode(batch)
         return await self._http.request("POST", address, COMMANDS_PATH, body, self._timeout)
 
     def _apply_response(self, response: ClientResponse, address: str) -> Heartbeat | None:
--- a/spindleglade/workers/command_selection.py
+++ b/spindleglade/workers/command_selection.py
@@ -10,7 +10,7 @@
 from spindleglade.workers.attempts import FETCHING, RUNNING, SAVING, Attempt
 from spindleglade.workers.cluster_data import ClusterData
 from spindleglade.workers.machines import Machine, MachineReachability
-from spindleglade.workers.messages import Command, Operation, split_task
+from spindleglade.workers.messages import Command, CommandBatch, Operation, split_task
 from spindleglade.workers.state_changes import StateChanges
 
 # Keeps a message below the limit of 64 KiB per line; a task's name may take 100 bytes.
@@ -19,16 +19,12 @@
 # Looked up once: access to a member of an enumeration is slow in Python 3.11, and every attempt needs these.
 _START, _STOP, _FORGET = Operation.START, Operation.STOP, Operation.FORGET
 
-# Keeps a message below the limit of 64 KiB per line; a task's name may take 100 bytes.
-MAX_COMMANDS_PER_MESSAGE = 400
-
 
 class DirectCommands(NamedTuple):
-    """Commands to send directly to a machine, valid only in this incarnation of the machine."""
+    """A message with commands to send directly to a machine."""
 
     machine: Machine
-    incarnation: int
-    commands: list[Command]
+    batch: CommandBatch
 
 
 class CommandSelection:
@@ -45,7 +41,9 @@
         start that is already in flight, in a response or in a direct message, is not selected again. If
         `starts` is false, no starts are selected.
         """
-        commands = self._pending_commands(machine)
+        # A message that is in flight would be rejected if the token was raised before it arrives.
+        may_raise_token = sequence is not None and not machine.command_in_flight
+        commands = self._pending_commands(machine, may_raise_token)
         if not starts:
             return commands
         for attempt in machine.placed.values():
@@ -56,14 +54,17 @@
             commands.append(Command(_START, attempt.task, attempt.attempt))
             if sequence is None:
                 attempt.starts_in_flight += 1
-                attempt.started_directly = True
+                attempt.direct_start_token = self._data.message_token(machine)
             else:
                 attempt.start_sent_with_sequence = sequence
         return commands
 
-    def _pending_commands(self, machine: Machine) -> list[Command]:
+    def _pending_commands(self, machine: Machine, may_raise_token: bool) -> list[Command]:
         """Commands to forget and to stop attempts. What exceeds one message is selected the next time."""
-        commands = self._forget_and_stop_unexpected(machine) if machine.acknowledged_token else []
+        commands: list[Command] = []
+        if machine.acknowledged_token:
+            commands += self._forget_exited(machine, may_raise_token)
+            commands += self._stop_unexpected(machine)
         for attempt in machine.placed.values():
             if (
                 attempt.incarnation == machine.incarnation
@@ -74,21 +75,35 @@
                 commands.append(Command(_STOP, attempt.task, attempt.attempt, attempt.grace_period_s))
         return commands[:MAX_COMMANDS_PER_MESSAGE]
 
+    def _forget_exited(self, machine: Machine, may_raise_token: bool) -> list[Command]:
+        """Commands to forget the exited attempts that are recorded.
+
+        After the worker forgets an attempt, a late copy of its start would run the task again. The command is
+        therefore sent under a higher token than the start, so that the worker rejects the copy. The token is
+        raised for that if `may_raise_token` is true, otherwise the command has to wait.
+        """
+        recorded = {
+            key: exited
+            for key, exited in machine.exited.items()
+            if exited.is_recorded and key not in machine.unacknowledged_starts
+        }
+        start_tokens = [exited.start_token for exited in recorded.values() if exited.start_token is not None]
+        if may_raise_token and max(start_tokens, default=0) >= self._data.message_token(machine):
+            machine.token_raises += 1
+        token = self._data.message_token(machine)
+        return [
+            Command(_FORGET, task, attempt)
+            for (task, attempt), exited in recorded.items()
+            if exited.start_token is None or exited.start_token < token
+        ]
+
     @staticmethod
-    def _forget_and_stop_unexpected(machine: Machine) -> list[Command]:
-        commands: list[Command] = []
-        for (task, attempt), exited in machine.exited.items():
-            # After the worker forgets an attempt, a start that arrives late would run the task again.
-            if (
-                exited.is_recorded
-                and not exited.never_forget
-                and (task, attempt) not in machine.unacknowledged_starts
-            ):
-                commands.append(Command(_FORGET, task, attempt))
-        for (task, attempt), state in machine.unexpected_attempts.items():
-            if state != SAVING:
-                commands.append(Command(_STOP, task, attempt, 0.0))
-        return commands
+    def _stop_unexpected(machine: Machine) -> list[Command]:
+        return [
+            Command(_STOP, task, attempt, 0.0)
+            for (task, attempt), state in machine.unexpected_attempts.items()
+            if state != SAVING
+        ]
 
     @staticmethod
     def _may_start(machine: Machine, attempt: Attempt) -> bool:
@@ -125,7 +140,8 @@
                 queue[name] = None
             if commands:
                 machine.command_in_flight, machine.reconciled_tasks = True, None
-                selected.append(DirectCommands(machine, machine.incarnation, commands))
+                token = self._data.message_token(machine)
+                selected.append(DirectCommands(machine, CommandBatch(token, machine.incarnation, commands)))
         return selected
 
     @staticmethod
--- a/spindleglade/workers/errors.py
+++ b/spindleglade/workers/errors.py
@@ -6,7 +6,7 @@
 
 
 class StaleTokenError(WorkerProtocolError):
-    """A machine has acknowledged the token of a later leader, which is above this leader's token."""
+    """A machine has acknowledged the token of a later leader, which is above this leader's last token."""
 
     def __init__(self, machine: str, token: int, own_token: int) -> None:
         super().__init__(f"machine {machine} has acknowledged token {token}, above this leader's {own_token}")
--- a/spindleglade/workers/heartbeat_reconciliation.py
+++ b/spindleglade/workers/heartbeat_reconciliation.py
@@ -2,7 +2,7 @@
 
 A placed task returns to waiting only on proof that its attempt is no longer on the machine. Silence proves
 nothing. The proof is one of:
-- a heartbeat of the same incarnation under this leader's own token, newer than the last one, that shows the
+- a heartbeat of the same incarnation under a token of this leader, newer than the last one, that shows the
   attempt exited, or does not list it while no start of it can be in flight
 - a heartbeat of a newer incarnation
 - the cloud's statement that the machine is terminated
@@ -11,6 +11,7 @@
 import logging
 from datetime import timedelta
 
+from spindleglade.leadership.term import last_token_of_term
 from spindleglade.workers.attempt_outcomes import AttemptOutcomes
 from spindleglade.workers.attempts import Attempt, AttemptKey, EndReason, StopReason
 from spindleglade.workers.cluster_data import ClusterData
@@ -18,7 +19,7 @@
 from spindleglade.workers.errors import StaleTokenError
 from spindleglade.workers.jobs import grace_period_s
 from spindleglade.workers.machines import Machine
-from spindleglade.workers.messages import Command, Heartbeat, TaskStatus
+from spindleglade.workers.messages import Command, Heartbeat, HeartbeatResponse, TaskStatus
 from spindleglade.workers.state_changes import StateChanges
 
 log = logging.getLogger("spindleglade.workers")
@@ -42,16 +43,19 @@
         self._commands = commands
         self._outcomes = outcomes
 
-    def on_heartbeat(self, heartbeat: Heartbeat, now: timedelta, renews_lease: bool) -> list[Command] | None:
-        """Applies a heartbeat. Returns the commands of the response, or None if the machine is terminated or
-        its lease must expire.
+    def on_heartbeat(
+        self, heartbeat: Heartbeat, now: timedelta, renews_lease: bool
+    ) -> HeartbeatResponse | None:
+        """Applies a heartbeat. Returns the response, or None if the machine is terminated or its lease must
+        expire.
 
         `renews_lease` is true if the worker sent the heartbeat in a request of its own: the response
         renews the worker's lease and may carry commands. It is false for a status that the leader requested,
         and while the leader may not renew leases.
         """
-        if heartbeat.token > self._data.token:
-            raise StaleTokenError(heartbeat.machine, heartbeat.token, self._data.token)
+        last_token = last_token_of_term(self._data.token)
+        if heartbeat.token > last_token:
+            raise StaleTokenError(heartbeat.machine, heartbeat.token, last_token)
         if heartbeat.machine in self._data.terminated:
             return None
         machine = self._data.machines.get(heartbeat.machine)
@@ -61,16 +65,20 @@
             # A late copy, or overtaken by a newer heartbeat: it does not show the present state of the
             # machine and its tasks. It is answered all the same: the worker drops a response that it does not
             # wait for.
-            return None if machine.unacknowledged_starts_of_cancelled_jobs() else []
+            is_withheld = bool(machine.unacknowledged_starts_of_cancelled_jobs())
+            return None if is_withheld else self._respond(machine, [])
         self._observe_arrival(machine, heartbeat, now, renews_lease)
         if renews_lease and self._is_unchanged(machine, heartbeat):
             machine.sequence, machine.last_response_at = heartbeat.sequence, now
-            return []
+            return self._respond(machine, [])
         self._apply_heartbeat(machine, heartbeat, now, renews_lease)
         if not renews_lease:
-            return []
+            return self._respond(machine, [])
         return self._select_response(machine, heartbeat, now)
 
+    def _respond(self, machine: Machine, commands: list[Command]) -> HeartbeatResponse:
+        return HeartbeatResponse(self._data.message_token(machine), commands)
+
     def _add_machine(self, heartbeat: Heartbeat, now: timedelta) -> Machine:
         machine = Machine(
             heartbeat.machine,
@@ -112,23 +120,23 @@
         return (
             machine.reconciled_tasks is not None
             and heartbeat.incarnation == machine.incarnation
-            and heartbeat.token == self._data.token
+            and heartbeat.token >= self._data.token
             and heartbeat.warning_s is None
             and heartbeat.tasks == machine.reconciled_tasks
         )
 
     def _select_response(
         self, machine: Machine, heartbeat: Heartbeat, now: timedelta
-    ) -> list[Command] | None:
+    ) -> HeartbeatResponse | None:
         if machine.unacknowledged_starts_of_cancelled_jobs():
             # Only the end of the incarnation invalidates such a start. If the lease were renewed until the
             # cloud terminates the machine, a start delayed by a minute would run a cancelled task.
             return None
         machine.last_response_at = now
         commands = self._commands.commands_for(machine, heartbeat.sequence)
-        if not commands and heartbeat.token == self._data.token and self._is_reconciled(machine):
+        if not commands and heartbeat.token >= self._data.token and self._is_reconciled(machine):
             machine.reconciled_tasks = heartbeat.tasks
-        return commands
+        return self._respond(machine, commands)
 
     @staticmethod
     def _is_reconciled(machine: Machine) -> bool:
@@ -151,8 +159,8 @@
     ) -> None:
         if heartbeat.incarnation > machine.incarnation:
             self._begin_incarnation(machine, heartbeat.incarnation, now)
-        # A worker that has this leader's token no longer executes commands of former leaders.
-        has_current_token = heartbeat.token == self._data.token
+        # A worker that has a token of this leader no longer executes commands of former leaders.
+        has_current_token = heartbeat.token >= self._data.token
         self._update_machine(machine, heartbeat, has_current_token)
         self._observe_termination_notice(machine, heartbeat.warning_s, now)
         unmatched = {(status.task, status.attempt): status for status in heartbeat.tasks}
--- a/spindleglade/workers/machines.py
+++ b/spindleglade/workers/machines.py
@@ -47,7 +47,10 @@
     # Incarnation and sequence number of its latest heartbeat.
     incarnation: int = 0
     sequence: int = -1
-    # Whether a heartbeat of this incarnation has carried this leader's token.
+    # How often the leader has raised the token of its messages to this machine. The worker rejects messages
+    # with a lower token, so late copies of them have no effect.
+    token_raises: int = 0
+    # Whether a heartbeat of this incarnation has carried a token of this leader.
     acknowledged_token: bool = False
     # When the latest heartbeat was received, including those in responses to this leader's messages.
     last_heartbeat_at: timedelta | None = None
--- a/spindleglade/workers/test_command_dispatcher.py
+++ b/spindleglade/workers/test_command_dispatcher.py
@@ -82,7 +82,7 @@
     harness.place()
     harness.commit_writes()
     assert harness.cluster.take_direct_commands(starts=False) == []
-    assert [commands for _, _, commands in harness.cluster.take_direct_commands()] == [START]
+    assert [direct.batch.commands for direct in harness.cluster.take_direct_commands()] == [START]
 
 
 def test_commands_whose_sending_raises_are_not_in_flight_for_ever():
--- a/spindleglade/workers/test_heartbeat_reconciliation.py
+++ b/spindleglade/workers/test_heartbeat_reconciliation.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from spindleglade.leadership.term import last_token_of_term
 from spindleglade.runtime.clock import seconds
 from spindleglade.workers.errors import StaleTokenError
 from spindleglade.workers.jobs import PLACED, WAITING
@@ -164,8 +165,10 @@
 
 
 def test_a_higher_token_raises_a_stale_token_error():
+    """The first token of the next term does, the last one of the leader's own term does not."""
+    assert Harness().send_heartbeat(token=last_token_of_term(TOKEN)) == []
     with pytest.raises(StaleTokenError):
-        Harness().send_heartbeat(token=TOKEN + 1)
+        Harness().send_heartbeat(token=last_token_of_term(TOKEN) + 1)
 
 
 def test_an_unexpected_attempt_is_stopped_and_then_forgotten():
--- a/spindleglade/workers/test_lossy_network.py
+++ b/spindleglade/workers/test_lossy_network.py
@@ -4,21 +4,22 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from spindleglade.backfill.plan import Placement, Plan, Preemption
-from spindleglade.workers.messages import Command, Heartbeat, TaskStatus, split_task
-from tests.cluster_harness import TOKEN, Harness
+from spindleglade.workers.messages import CommandBatch, Heartbeat, TaskStatus, split_task
+from tests.cluster_harness import Harness
 
 
 class LossyWorker(RuleBasedStateMachine):
     """One machine behind a network that loses, delays and repeats direct commands, with placements at any
     time. The leader must never consider a task off the machine while it runs there or a start can still
-    arrive."""
+    arrive. Copies of a direct message may arrive at any time, whether or not it was answered."""
 
     def __init__(self):
         super().__init__()
         self.harness = Harness()
         self.incarnation, self.sequence = 1, 0
         self.tasks: dict[tuple[str, int], str] = {}
-        self.delayed: list[tuple[int, list[Command]]] = []
+        self.delayed: list[CommandBatch] = []
+        self.delivered: list[CommandBatch] = []
         self.token = 0
 
     def next_heartbeat(self):
@@ -36,6 +37,15 @@
         ]
         return Heartbeat("n-1", "x:1", "m", "z", True, self.incarnation, self.sequence, self.token, statuses)
 
+    def accepts(self, batch: CommandBatch):
+        return batch.incarnation == self.incarnation and batch.token >= self.token
+
+    def receive(self, batch: CommandBatch):
+        """Executes a direct message unless its token or incarnation is outdated."""
+        if self.accepts(batch):
+            self.token = batch.token
+            self.execute(batch.commands)
+
     def execute(self, commands):
         for command in commands:
             key = (command.task, command.attempt)
@@ -49,10 +59,10 @@
     @rule(deliver=st.booleans())
     def send_heartbeat(self, deliver):
         heartbeat = self.next_heartbeat()
-        commands = self.harness.cluster.on_heartbeat(heartbeat, self.harness.now, True)
-        if deliver and commands is not None:
-            self.token = TOKEN
-            self.execute(commands)
+        response = self.harness.cluster.on_heartbeat(heartbeat, self.harness.now, True)
+        if deliver and response is not None and response.token >= self.token:
+            self.token = response.token
+            self.execute(response.commands)
 
     @rule(index=st.integers(0, 1))
     def plan(self, index):
@@ -70,23 +80,30 @@
 
     @rule(outcome=st.sampled_from(["answered", "response lost", "delayed", "lost"]))
     def send(self, outcome):
-        for machine, incarnation, commands in self.harness.cluster.take_direct_commands():
-            if outcome in ("answered", "response lost") and incarnation == self.incarnation:
-                self.token = TOKEN
-                self.execute(commands)
+        for machine, batch in self.harness.cluster.take_direct_commands():
+            if outcome in ("answered", "response lost"):
+                self.receive(batch)
+                self.delivered.append(batch)
             if outcome == "delayed":
-                self.delayed.append((incarnation, commands))
+                self.delayed.append(batch)
             heartbeat = self.next_heartbeat() if outcome == "answered" else None
-            self.harness.cluster.on_commands_sent(machine, commands, heartbeat is None, self.harness.now)
+            self.harness.cluster.on_commands_sent(
+                machine, batch.commands, heartbeat is None, self.harness.now
+            )
             if heartbeat is not None:
                 self.harness.cluster.on_heartbeat(heartbeat, self.harness.now, False)
 
     @precondition(lambda self: self.delayed)
     @rule()
     def deliver_delayed(self):
-        incarnation, commands = self.delayed.pop(0)
-        if incarnation == self.incarnation:
-            self.execute(commands)
+        batch = self.delayed.pop(0)
+        self.receive(batch)
+        self.delivered.append(batch)
+
+    @precondition(lambda self: self.delivered)
+    @rule(position=st.integers(0, 9))
+    def deliver_copy(self, position):
+        self.receive(self.delivered[position % len(self.delivered)])
 
     @rule(position=st.integers(0, 3))
     def end_task(self, position):
@@ -114,10 +131,20 @@
     @invariant()
     def a_start_that_can_arrive_is_placed_or_known_to_the_worker(self):
         job = self.harness.cluster.jobs["job-1"]
-        for incarnation, commands in self.delayed:
-            for command in commands:
+        for batch in self.delayed:
+            for command in batch.commands:
+                key = (command.task, command.attempt)
+                if command.operation == "start" and self.accepts(batch) and key not in self.tasks:
+                    _, index = split_task(command.task)
+                    assert index in job.placed and job.placed[index].attempt == command.attempt, key
+
+    @invariant()
+    def no_copy_can_start_an_attempt(self):
+        job = self.harness.cluster.jobs["job-1"]
+        for batch in filter(self.accepts, self.delivered):
+            for command in batch.commands:
                 key = (command.task, command.attempt)
-                if command.operation == "start" and incarnation == self.incarnation and key not in self.tasks:
+                if command.operation == "start" and key not in self.tasks:
                     _, index = split_task(command.task)
                     assert index in job.placed and job.placed[index].attempt == command.attempt, key
 
--- a/spindleglade/workers/test_state_writer_sequences.py
+++ b/spindleglade/workers/test_state_writer_sequences.py
@@ -10,7 +10,7 @@
 from spindleglade.controller.test_recovery import make_loader
 from spindleglade.http.client import ClientResponse
 from spindleglade.http.errors import NoResponseError
-from spindleglade.leadership.term import LEADER_KEY, Term
+from spindleglade.leadership.term import LEADER_KEY, TOKENS_PER_TERM, Term
 from spindleglade.runtime.clock import ManualClock, seconds
 from spindleglade.settings.platform import StateLimits
 from spindleglade.store.client import StateClient
@@ -111,7 +111,7 @@
     def start_leader(self):
         if self.writer is not None:
             self.writer.stop()
-        self.token += 1
+        self.token += TOKENS_PER_TERM
         self.write(LEADER_KEY, {})
         term = Term(self.token, self.service.revision, 1)
         client = StateClient(UnreliableConnection(self), "", self.clock, self.LIMITS, 1, seconds(1))
@@ -159,9 +159,10 @@
             machine, "x:1", "m", "z", True, self.incarnations[machine], self.sequences[machine],
             self.tokens[machine], tasks,
         )  # fmt: skip
-        commands = self.cluster.on_heartbeat(heartbeat, self.clock.now(), True)
-        self.tokens[machine] = self.token
-        for command in commands:
+        response = self.cluster.on_heartbeat(heartbeat, self.clock.now(), True)
+        assert response.token >= self.tokens[machine]
+        self.tokens[machine] = response.token
+        for command in response.commands:
             key, attempts = (command.task, command.attempt), self.machines[machine]
             if command.operation == "start" and key not in attempts:
                 assert self.machine_of_start.setdefault(key, machine) == machine, (
--- a/tests/cluster_harness.py
+++ b/tests/cluster_harness.py
@@ -78,7 +78,8 @@
             token,
             [TaskStatus(*t) for t in tasks],
         )
-        return self.cluster.on_heartbeat(heartbeat, self.now, renews_lease)
+        response = self.cluster.on_heartbeat(heartbeat, self.now, renews_lease)
+        return None if response is None else response.commands
 
     def place(self, index=0, machine="n-1"):
         assert self.cluster.apply_plan(Plan(placements=[Placement("job-1", index, machine)]), self.now) == 1
@@ -92,7 +93,8 @@
         return self.cluster.jobs["job-1"].task_states[index]
 
     def direct_commands(self):
-        return [command for _, _, commands in self.cluster.take_direct_commands() for command in commands]
+        batches = [direct.batch for direct in self.cluster.take_direct_commands()]
+        return [command for batch in batches for command in batch.commands]
 
     def on_commands_sent(self, commands, outcome_unknown):
         self.cluster.on_commands_sent(self.cluster.machines["n-1"], commands, outcome_unknown, self.now)
--- /dev/null
+++ b/tests/test_late_start_copies.py
@@ -0,0 +1,206 @@
+"""A copy of a start command that was executed and answered before executes no attempt a second time."""
+
+from collections import Counter
+
+import pytest
+
+from spindleglade.backfill.plan import Plan, Preemption
+from spindleglade.runtime.clock import seconds
+from spindleglade.settings.operator import FleetSettings, OperatorSettings
+from spindleglade.workers.command_selection import CommandSelection
+from tests.deployment_config import CANCEL_TIMEOUT
+from tests.fakes.encoding import decode
+from tests.fakes.worker import Worker
+from tests.simulated_deployment import SimulatedDeployment
+from tests.simulation.network import HEARTBEAT_PATH, SimulatedNetwork
+
+COMMANDS_PATH = "/orders"
+JOB = "job-000001"
+FIRST_TASK = f"{JOB}/0"
+# The second task of the job runs until its job is cancelled, so that the job stays open after the first ends.
+RUN_TIMES_S = [6.0, 300.0]
+# How long a controller is down, and how long a machine hangs or is cut off, before it is back.
+SHORT_DOWNTIME = seconds(0.3)
+# Copies are delivered at this interval, for longer than a cancellation may take.
+COPY_INTERVAL = seconds(0.7)
+COPY_ROUNDS = 40
+
+
+class RecordingNetwork(SimulatedNetwork):
+    """Keeps all direct commands and all heartbeats, so that copies of them can be delivered later."""
+
+    loses_answers_to_commands = False
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.sent = []
+
+    def carry(self, source, target, method, path, body, on_reply):
+        if path in (COMMANDS_PATH, HEARTBEAT_PATH):
+            self.sent.append((source, target, method, path, body))
+        if path == COMMANDS_PATH and self.loses_answers_to_commands and decode(body)["orders"]:
+            super().carry(source, target, method, path, body, lambda reply: None)
+        else:
+            super().carry(source, target, method, path, body, on_reply)
+
+    def deliver_copies(self):
+        """Delivers copies of all commands to their machines, and of the latest heartbeats to everyone."""
+        heartbeats = {message[4]: message for message in self.sent if message[3] == HEARTBEAT_PATH}
+        commands = {message[4]: message for message in self.sent if message[3] == COMMANDS_PATH}
+        for source, target, method, path, body in commands.values():
+            self._deliver_copy(source, target, method, path, body)
+        for source, _, method, path, body in list(heartbeats.values())[-100:]:
+            for controller in list(self._endpoints.controllers):
+                self._deliver_copy(source, controller, method, path, body)
+
+    def started_directly(self, task):
+        """Whether a direct command has started the task."""
+        return any(
+            command["verb"] == "start" and command["thread"] == task
+            for *_, path, body in self.sent
+            if path == COMMANDS_PATH
+            for command in decode(body)["orders"]
+        )
+
+
+class CopyingDeployment(SimulatedDeployment):
+    """A deployment that keeps idle machines, since copies reach no machine that is gone."""
+
+    network_type = RecordingNetwork
+
+    def __init__(self, seed):
+        fleet = FleetSettings(idle_s=600.0, on_demand_idle_s=600.0, start_objective_idle_s=600.0)
+        super().__init__(seed, settings=OperatorSettings(fleet=fleet))
+
+
+@pytest.fixture
+def executions(monkeypatch):
+    """Counts how often each attempt was executed, by machine, incarnation, task and attempt."""
+    counts = Counter()
+    run = Worker._run
+
+    def count_and_run(worker, task):
+        counts[(worker.machine.name, worker.incarnation, task.name, task.attempt)] += 1
+        run(worker, task)
+
+    monkeypatch.setattr(Worker, "_run", count_and_run)
+    return counts
+
+
+def land_directly(deployment, monkeypatch):
+    """Leaves all starts to direct commands."""
+
+
+def land_directly_without_answer(deployment, monkeypatch):
+    """Lets direct commands be executed, and loses the answers."""
+    deployment.network.loses_answers_to_commands = True
+
+
+def land_in_response(deployment, monkeypatch):
+    """Sends commands in the responses to heartbeats only."""
+    monkeypatch.setattr(CommandSelection, "_accepts_direct_commands", staticmethod(lambda machine: False))
+
+
+def first_attempt(deployment):
+    """The worker that runs the first task, and the attempt there; None if none does."""
+    for worker in deployment.workers.values():
+        for task in worker.tasks.values():
+            if task.name == FIRST_TASK and task.state == "running" and not worker.terminated:
+                return worker, task
+    return None
+
+
+def end_done(deployment, worker, task):
+    """Lets the task run to its end."""
+
+
+def end_in_error(deployment, worker, task):
+    worker._exit(task, "error")
+
+
+def end_halted(deployment, worker, task):
+    """Preempts the task, as a plan does that needs the room."""
+    cluster = deployment.leading_controller().leader.cluster
+    preemption = Preemption(JOB, 0, worker.machine.name, "job-000002")
+    cluster.apply_plan(Plan(preemptions=[preemption]), deployment.clock.now())
+
+
+def end_cancelled(deployment, worker, task):
+    deployment.users.cancel(JOB)
+
+
+def end_moved(deployment, worker, task):
+    """Cuts the machine off until its lease has expired and the task runs elsewhere."""
+    deployment.network.cut(worker.machine.address, deployment.controller_names, False, seconds(8))
+
+
+def nothing_returns(deployment, worker):
+    pass
+
+
+def leader_returns(deployment, worker):
+    leader = deployment.leader()
+    if leader is not None:
+        deployment.faults.restart(leader, SHORT_DOWNTIME)
+
+
+def all_controllers_return(deployment, worker):
+    for index in range(len(deployment.controller_names)):
+        deployment.faults.restart(index, SHORT_DOWNTIME)
+
+
+def machine_returns_from_hang(deployment, worker):
+    deployment.faults.hang(worker.machine.name, SHORT_DOWNTIME)
+
+
+def machine_returns_from_cut(deployment, worker):
+    deployment.network.cut(worker.machine.address, deployment.controller_names, True, SHORT_DOWNTIME)
+
+
+LANDINGS = [land_directly, land_directly_without_answer, land_in_response]
+ENDS = [end_done, end_in_error, end_halted, end_cancelled, end_moved]
+RETURNS = [
+    nothing_returns,
+    leader_returns,
+    all_controllers_return,
+    machine_returns_from_hang,
+    machine_returns_from_cut,
+]
+
+
+def run_first_task(deployment, monkeypatch, land):
+    """Submits the job and runs it until its first task is running. Returns the worker and the attempt."""
+    deployment.run(seconds(3))
+    land(deployment, monkeypatch)
+    deployment.users.submit(1, threads=2, vcpus=5.0, run_s=RUN_TIMES_S)
+    while (running := first_attempt(deployment)) is None:
+        assert deployment.clock.now() < seconds(60)
+        deployment.run(seconds(0.1))
+    return running
+
+
+def deliver_copies(deployment, rounds=COPY_ROUNDS):
+    for _ in range(rounds):
+        deployment.network.deliver_copies()
+        deployment.run(COPY_INTERVAL)
+
+
+@pytest.mark.parametrize("come_back", RETURNS)
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("land", LANDINGS)
+def test_no_copy_executes_an_attempt_twice(land, end, come_back, executions, monkeypatch):
+    """Guards against a task on two machines, or of a cancelled job, by a late copy of its start."""
+    deployment = CopyingDeployment(31)
+    worker, task = run_first_task(deployment, monkeypatch, land)
+    deployment.run(seconds(0.4))
+    assert deployment.network.started_directly(FIRST_TASK) == (land is not land_in_response)
+    end(deployment, worker, task)
+    while task.state == "running":
+        deployment.run(seconds(0.1))
+    come_back(deployment, worker)
+    deliver_copies(deployment)
+    deployment.users.cancel(JOB)
+    deployment.run(CANCEL_TIMEOUT)
+    deliver_copies(deployment, rounds=10)
+    assert executions[(worker.machine.name, 1, FIRST_TASK, task.attempt)] == 1
+    assert set(executions.values()) == {1}
