--- a/spindleglade/leadership/test_election.py
+++ b/spindleglade/leadership/test_election.py
@@ -166,6 +166,33 @@
     assert not terms and election.term is None
 
 
+def test_a_term_begins_though_its_own_token_is_observed_before_the_response():
+    """Guards against a winner that takes the token that it has written itself for that of a later leader."""
+
+    class Store(FakeStore):
+        async def compare_and_swap(self, conditions, writes, urgent=False):
+            for put in writes:
+                replica.on_change(put.key, put.value, 9)
+            return Committed(9)
+
+        async def keep_alive(self, lease):
+            return None
+
+    terms, replica, clock = [], FakeReplica(), ManualClock()
+    election = Election("me", Store(), replica, clock, LEASE_TTL, ElectionHandlers(terms.append, None))
+    election.start()
+    clock.advance(CAMPAIGN_DURATION)
+    (term,) = terms
+    assert election.term is term and election.highest_token == term.last_token
+    # The first token after the term's is that of a later leader.
+    deposed = []
+    election._handlers = dataclasses.replace(election._handlers, on_deposed=deposed.append)
+    election.observe_token(term.last_token)
+    assert not deposed
+    election.observe_token(term.last_token + 1)
+    assert deposed
+
+
 def test_a_leader_whose_process_ended_is_replaced_before_its_lease_ends():
     deployment = SimulatedDeployment(5)
     deployment.run(seconds(3))
--- a/spindleglade/workers/test_heartbeat_reconciliation.py
+++ b/spindleglade/workers/test_heartbeat_reconciliation.py
@@ -175,6 +175,8 @@
     harness = Harness()
     assert harness.send_heartbeat(("job-9/0", 1, "running")) == [Command("stop", "job-9/0", 1, 0.0)]
     assert harness.send_heartbeat(("job-9/0", 1, "exited", "halted")) == [Command("clear", "job-9/0", 1)]
+    # Its start may have been a direct message, of which a copy may still arrive.
+    assert harness.response_token == TOKEN + 1
 
 
 def test_only_done_runs_enter_the_history():
--- a/tests/cluster_harness.py
+++ b/tests/cluster_harness.py
@@ -60,6 +60,8 @@
         self.cluster = make_cluster()
         self.now = seconds(100)
         self.sequence = 0
+        # The token of the latest response to a heartbeat.
+        self.response_token = None
         self.cluster.observe_job(JobRecord("open", spec(), 1), 1)
 
     def send_heartbeat(
@@ -79,7 +81,10 @@
             [TaskStatus(*t) for t in tasks],
         )
         response = self.cluster.on_heartbeat(heartbeat, self.now, renews_lease)
-        return None if response is None else response.commands
+        if response is None:
+            return None
+        self.response_token = response.token
+        return response.commands
 
     def place(self, index=0, machine="n-1"):
         assert self.cluster.apply_plan(Plan(placements=[Placement("job-1", index, machine)]), self.now) == 1
@@ -102,6 +107,15 @@
     def cancel(self):
         self.cluster.observe_job(JobRecord("aborted", spec(), 1), 50)
 
+    def with_directly_started_task(self):
+        """Has task 0 placed, committed, started by an answered direct message and reported as running."""
+        self.send_heartbeat()
+        self.place()
+        self.commit_writes()
+        self.on_commands_sent(self.direct_commands(), outcome_unknown=False)
+        self.send_heartbeat(("job-1/0", 1, "running"))
+        return self
+
     def with_running_task(self):
         """Has task 0 placed, committed, started and reported as running. Returns the harness."""
         self.send_heartbeat()
