--- a/tests/test_late_start_copies.py
+++ b/tests/test_late_start_copies.py
@@ -1,20 +1,14 @@
 """A copy of a start command that was executed and answered before executes no attempt a second time."""
 
-from collections import Counter
-
 import pytest
 
 from spindleglade.backfill.plan import Plan, Preemption
 from spindleglade.runtime.clock import seconds
-from spindleglade.settings.operator import FleetSettings, OperatorSettings
 from spindleglade.workers.command_selection import CommandSelection
 from tests.deployment_config import CANCEL_TIMEOUT
-from tests.fakes.encoding import decode
 from tests.fakes.worker import Worker
-from tests.simulated_deployment import SimulatedDeployment
-from tests.simulation.network import HEARTBEAT_PATH, SimulatedNetwork
+from tests.start_copies import CopyingDeployment, ExecutionCounter, play
 
-COMMANDS_PATH = "/orders"
 JOB = "job-000001"
 FIRST_TASK = f"{JOB}/0"
 # The second task of the job runs until its job is cancelled, so that the job stays open after the first ends.
@@ -26,65 +20,12 @@
 COPY_ROUNDS = 40
 
 
-class RecordingNetwork(SimulatedNetwork):
-    """Keeps all direct commands and all heartbeats, so that copies of them can be delivered later."""
-
-    loses_answers_to_commands = False
-
-    def __init__(self, *args):
-        super().__init__(*args)
-        self.sent = []
-
-    def carry(self, source, target, method, path, body, on_reply):
-        if path in (COMMANDS_PATH, HEARTBEAT_PATH):
-            self.sent.append((source, target, method, path, body))
-        if path == COMMANDS_PATH and self.loses_answers_to_commands and decode(body)["orders"]:
-            super().carry(source, target, method, path, body, lambda reply: None)
-        else:
-            super().carry(source, target, method, path, body, on_reply)
-
-    def deliver_copies(self):
-        """Delivers copies of all commands to their machines, and of the latest heartbeats to everyone."""
-        heartbeats = {message[4]: message for message in self.sent if message[3] == HEARTBEAT_PATH}
-        commands = {message[4]: message for message in self.sent if message[3] == COMMANDS_PATH}
-        for source, target, method, path, body in commands.values():
-            self._deliver_copy(source, target, method, path, body)
-        for source, _, method, path, body in list(heartbeats.values())[-100:]:
-            for controller in list(self._endpoints.controllers):
-                self._deliver_copy(source, controller, method, path, body)
-
-    def started_directly(self, task):
-        """Whether a direct command has started the task."""
-        return any(
-            command["verb"] == "start" and command["thread"] == task
-            for *_, path, body in self.sent
-            if path == COMMANDS_PATH
-            for command in decode(body)["orders"]
-        )
-
-
-class CopyingDeployment(SimulatedDeployment):
-    """A deployment that keeps idle machines, since copies reach no machine that is gone."""
-
-    network_type = RecordingNetwork
-
-    def __init__(self, seed):
-        fleet = FleetSettings(idle_s=600.0, on_demand_idle_s=600.0, start_objective_idle_s=600.0)
-        super().__init__(seed, settings=OperatorSettings(fleet=fleet))
-
-
 @pytest.fixture
-def executions(monkeypatch):
-    """Counts how often each attempt was executed, by machine, incarnation, task and attempt."""
-    counts = Counter()
-    run = Worker._run
-
-    def count_and_run(worker, task):
-        counts[(worker.machine.name, worker.incarnation, task.name, task.attempt)] += 1
-        run(worker, task)
-
-    monkeypatch.setattr(Worker, "_run", count_and_run)
-    return counts
+def executions():
+    counter = ExecutionCounter()
+    run = counter.install()
+    yield counter.counts
+    Worker._run = run
 
 
 def land_directly(deployment, monkeypatch):
@@ -204,3 +145,10 @@
     deliver_copies(deployment, rounds=10)
     assert executions[(worker.machine.name, 1, FIRST_TASK, task.attempt)] == 1
     assert set(executions.values()) == {1}
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_no_attempt_is_executed_twice_whatever_copies_arrive(seed):
+    """Guards against any order of ends, faults and copies in which a late copy of a start is executed."""
+    counts = play(seed)
+    assert len(counts) > 20 and set(counts.values()) == {1}
