Let a job return to the machine where it failed once after a minute

Users could see a job wait for good though its only machine had room: a task had failed there once, and a job avoided such a machine until it had failed on a second one, which no other machine gave it the chance to.

Change: the job avoids the machine for the longest pause of a failing job (workers.backoff_most_s, 60 s) at most.

Measured: both new tests failed before, on a simulated deployment and at the cluster state.

--- a/spindleglade/settings/operator.py
+++ b/spindleglade/settings/operator.py
@@ -73,7 +73,7 @@
     quarantine_after_failed_jobs: Count = msgspec.field(name="faulty_jobs", default=2)
     # Backoff of a job whose tasks fail on several machines, doubled each time up to the maximum. After the
     # backoff the tasks are tried one at a time until one of them has run for longer than the backoff, or is
-    # done.
+    # done. A job whose tasks fail on one machine only avoids that machine for the maximum.
     backoff_s: Seconds = 5.0
     max_backoff_s: Seconds = msgspec.field(name="backoff_most_s", default=60.0)
 
--- a/spindleglade/workers/failure_tracker.py
+++ b/spindleglade/workers/failure_tracker.py
@@ -38,7 +38,8 @@
             # The cancellation would have withdrawn the failure.
             return
         job.failed_on.add(machine.name)
-        job.avoided_machines.add(machine.name)
+        # For a limited time, since no other machine may be eligible for the job.
+        job.avoided_until[machine.name] = now + self._data.policy.max_backoff
         if len(job.failed_on) > 1:
             self.pause_job(job, now)
             self._clear_failures_of(job)
@@ -93,7 +94,7 @@
         """Pauses the placement of the job's tasks. Each pause is twice as long as the one before, up to a
         limit."""
         # After the pause the failures say little about those machines, and the job may need any of them.
-        job.avoided_machines.clear()
+        job.avoided_until.clear()
         if job.paused_until > now:
             # Tasks that were started together fail together. If each of them extended the pause, it would
             # reach the limit at once.
--- a/spindleglade/workers/jobs.py
+++ b/spindleglade/workers/jobs.py
@@ -51,7 +51,7 @@
     __slots__ = (
         "accepted_at",
         "attempts",
-        "avoided_machines",
+        "avoided_until",
         "backoff",
         "cancelled",
         "committed_versions",
@@ -105,9 +105,9 @@
         self.paused_until = timedelta(0)
         # The length of the latest pause; 0 before the first one, and again once a task is done.
         self.backoff = timedelta(0)
-        # The names of the machines on which tasks failed since the latest pause, and of all machines on which
-        # tasks failed.
-        self.avoided_machines: set[str] = set()
+        # Until when no task is placed on each machine where a task has failed since the latest pause.
+        self.avoided_until: dict[str, timedelta] = {}
+        # The names of all machines on which tasks failed.
         self.failed_on: set[str] = set()
         # Whether all dependencies are done. No task of the job may start before that.
         self.released = not record.has_dependencies
@@ -139,6 +139,10 @@
         """The latest version, known to be in the store, of the task range that contains the task."""
         return self.committed_versions.get(self.ranges.start(index), 0)
 
+    def avoided_machines(self, now: timedelta) -> frozenset[str]:
+        """The names of the machines on which no task of the job is placed now, since tasks failed there."""
+        return frozenset(name for name, until in self.avoided_until.items() if until > now)
+
     def mark_all_committed(self) -> None:
         """Marks the task ranges as committed in all versions, so that nothing waits for a write."""
         for first_task in [*self.ranges.range_starts, *self.ranges.overflow_starts]:
--- a/spindleglade/workers/planning_bridge.py
+++ b/spindleglade/workers/planning_bridge.py
@@ -82,6 +82,7 @@
             circumstances = JobCircumstances(
                 max_cpus,
                 now - job.waiting_since >= self._data.policy.overdue_after,
+                job.avoided_machines(now),
                 excluded.get(job.id, {}),
                 is_probe,
                 job.latest_start is not None and job.latest_start <= now,
--- a/spindleglade/workers/test_failure_tracker.py
+++ b/spindleglade/workers/test_failure_tracker.py
@@ -5,7 +5,7 @@
 from spindleglade.backfill.plan import Placement, Plan
 from spindleglade.runtime.clock import seconds
 from spindleglade.submissions.records import JobRecord, StoredAttempt, TaskRangeRecord
-from tests.cluster_harness import Harness, make_cluster, spec
+from tests.cluster_harness import POLICY, Harness, make_cluster, spec
 
 
 def test_failures_of_several_jobs_quarantine_a_machine_and_of_one_job_do_not():
@@ -226,6 +226,27 @@
     assert not machines.is_quarantined() and machines.try_start("job-9")
 
 
+def test_a_job_avoids_a_machine_where_it_failed_for_a_limited_time():
+    """Guards against a job that waits for good for a machine where it failed once."""
+    machines = SimulatedMachines()
+    harness = machines.harness
+    machines.fail("job-2")
+    failed_at = harness.now
+
+    def avoided_machines():
+        (view,) = [view for view in harness.cluster.snapshot(harness.now).jobs if view.id == "job-2"]
+        return view.avoided_machines
+
+    harness.now = failed_at + POLICY.max_backoff - seconds(1)
+    assert avoided_machines() == {"n-1"}
+    harness.now = failed_at + POLICY.max_backoff
+    assert avoided_machines() == set()
+    # A second failure there says no more about the job, which is not paused, but it avoids the machine again.
+    machines.send_heartbeat()
+    machines.fail("job-2")
+    assert avoided_machines() == {"n-1"} and harness.cluster.jobs["job-2"].paused_until == seconds(0)
+
+
 def test_a_job_that_fails_everywhere_is_probed_with_one_task_at_a_time():
     """Otherwise all its tasks would start and fail again at the end of each pause."""
     harness = Harness()
--- a/spindleglade/workers/views.py
+++ b/spindleglade/workers/views.py
@@ -18,6 +18,8 @@
     # The CPUs that one pass can fill at most, which limits the number of waiting tasks in the view.
     max_cpus: float
     is_overdue: bool
+    # Machines that no task of the job must be placed on.
+    avoided_machines: frozenset[str]
     # Machines that a waiting task must not be placed on, by task number.
     excluded_machines: dict[int, set[str]]
     # Whether only one task is offered, to test whether the job still fails.
@@ -101,7 +103,7 @@
         _tasks_by_zone(job, machines) if spec.one_zone or spec.spread else {},
         spec.is_gang and not job.placed,
         circumstances.is_overdue,
-        frozenset(job.avoided_machines),
+        circumstances.avoided_machines,
         circumstances.excluded_machines,
         circumstances.is_probe,
         circumstances.is_urgent,
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -184,6 +184,23 @@
     assert "pools_backed_off=" in lines[0] and "leadership_proven=True" in lines[0]
 
 
+def test_a_job_that_failed_once_is_tried_again_on_its_only_machine():
+    """Guards against work that waits for good for a machine where it failed once, though it fits there."""
+    deployment = SimulatedDeployment(41, capacity=1)
+    deployment.run(seconds(3))
+    deployment.users.submit(1, threads=1, run_s=[400.0])
+    while not deployment.executions.started:
+        deployment.run(seconds(0.5))
+    task = deployment.users.submit(2, threads=1, run_s=[5.0]) + "/0"
+    while not deployment.executions.running_on.get(task):
+        deployment.run(seconds(0.1))
+    (worker,) = deployment.workers.values()
+    (running,) = [running for running in worker.tasks.values() if running.name == task]
+    worker._exit(running, "error")
+    deployment.run(seconds(90))
+    assert deployment.executions.start_counts[task] == 2 and task in deployment.executions.completed
+
+
 def test_a_leader_that_cannot_read_the_records_steps_down(monkeypatch):
     """The leader must not keep its lease while all its reads of the records fail: no peer could lead then."""
     deployment = SimulatedDeployment(37)
