Pass the outcome of direct commands as one value

Need: on_commands_sent took two flags, of which one combination could not occur, in place of the dispatcher's DeliveryOutcome.

Change: the enumeration is defined beside the commands, below the dispatcher, and passed on. What the code does stays.

--- a/spindleglade/workers/cluster_state.py
+++ b/spindleglade/workers/cluster_state.py
@@ -17,7 +17,7 @@
 from spindleglade.submissions.records import JobRecord, TaskRangeRecord
 from spindleglade.workers.attempt_outcomes import AttemptOutcomes
 from spindleglade.workers.cluster_data import ClusterData, DataField
-from spindleglade.workers.command_selection import CommandSelection, DirectCommands
+from spindleglade.workers.command_selection import CommandSelection, DeliveryOutcome, DirectCommands
 from spindleglade.workers.failure_tracker import FailureTracker
 from spindleglade.workers.heartbeat_reconciliation import HeartbeatReconciliation
 from spindleglade.workers.job_updates import JobUpdates
@@ -123,17 +123,11 @@
             return self._commands.take_direct_commands(starts)
 
     def on_commands_sent(
-        self,
-        machine: Machine,
-        commands: Iterable[Command],
-        outcome_unknown: bool,
-        now: timedelta,
-        connected: bool = True,
+        self, machine: Machine, commands: Iterable[Command], outcome: DeliveryOutcome, now: timedelta
     ) -> None:
-        """Records the outcome of direct commands. They were answered or never sent, unless `outcome_unknown`.
-        `connected` is false if no connection to the machine could be opened."""
+        """Records the outcome of direct commands."""
         with self.lock:
-            self._commands.on_commands_sent(machine, commands, outcome_unknown, now, connected)
+            self._commands.on_commands_sent(machine, commands, outcome, now)
 
     def on_machine_reached(self, machine: Machine, now: timedelta) -> None:
         """Records that a message has reached the machine."""
--- a/spindleglade/workers/command_dispatcher.py
+++ b/spindleglade/workers/command_dispatcher.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from enum import Enum, auto
 from typing import NamedTuple
 
 import msgspec
@@ -15,6 +14,7 @@
 from spindleglade.runtime.clock import Clock
 from spindleglade.workers.cancellation_freshness import CancellationFreshness
 from spindleglade.workers.cluster_state import ClusterState
+from spindleglade.workers.command_selection import DeliveryOutcome
 from spindleglade.workers.errors import StaleTokenError
 from spindleglade.workers.machines import Machine
 from spindleglade.workers.messages import CommandBatch, Heartbeat, decode_heartbeat
@@ -35,19 +35,6 @@
 MAX_INTRODUCTION_ATTEMPTS = 2
 
 
-class DeliveryOutcome(Enum):
-    """The outcome of sending commands directly to a machine."""
-
-    # The machine accepted or rejected the commands.
-    ANSWERED = auto()
-    # This controller had no free connection, which says nothing about the machine's reachability.
-    NOT_SENT = auto()
-    # No connection to the machine could be opened.
-    UNREACHABLE = auto()
-    # No conclusive response came: the machine may still execute the commands, even minutes later.
-    UNKNOWN = auto()
-
-
 class Delivery(NamedTuple):
     """The outcome of a message to a machine, and the response if one came."""
 
@@ -130,9 +117,8 @@
         self._cluster.on_commands_sent(
             machine,
             batch.commands,
-            delivery.outcome is DeliveryOutcome.UNKNOWN,
+            delivery.outcome,
             self._clock.now(),
-            delivery.outcome is not DeliveryOutcome.UNREACHABLE,
         )
         if delivery.response is not None:
             self._cluster.on_machine_reached(machine, self._clock.now())
--- a/spindleglade/workers/command_selection.py
+++ b/spindleglade/workers/command_selection.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Iterable
 from datetime import timedelta
+from enum import Enum, auto
 from typing import NamedTuple
 
 from spindleglade.workers.attempts import FETCHING, RUNNING, SAVING, Attempt
@@ -20,6 +21,19 @@
 _START, _STOP, _FORGET = Operation.START, Operation.STOP, Operation.FORGET
 
 
+class DeliveryOutcome(Enum):
+    """The outcome of sending commands directly to a machine."""
+
+    # The machine accepted or rejected the commands.
+    ANSWERED = auto()
+    # This controller had no free connection, which says nothing about the machine's reachability.
+    NOT_SENT = auto()
+    # No connection to the machine could be opened.
+    UNREACHABLE = auto()
+    # No conclusive response came: the machine may still execute the commands, even minutes later.
+    UNKNOWN = auto()
+
+
 class DirectCommands(NamedTuple):
     """A message with commands to send directly to a machine."""
 
@@ -163,24 +177,18 @@
         return key not in machine.unacknowledged_starts and self._may_start(machine, attempt)
 
     def on_commands_sent(
-        self,
-        machine: Machine,
-        commands: Iterable[Command],
-        outcome_unknown: bool,
-        now: timedelta,
-        connected: bool,
+        self, machine: Machine, commands: Iterable[Command], outcome: DeliveryOutcome, now: timedelta
     ) -> None:
-        """Records the outcome of direct commands. They were answered or never sent, unless `outcome_unknown`.
-        `connected` is false if no connection to the machine could be opened."""
+        """Records the outcome of direct commands."""
         machine.command_in_flight = False
         self._data.dispatch_queue[machine.name] = None
-        if outcome_unknown or not connected:
+        if outcome in (DeliveryOutcome.UNKNOWN, DeliveryOutcome.UNREACHABLE):
             machine.last_command_unanswered_at = now
             self._changes.mark_unreachable(machine, now, "commands unanswered")
         for command in commands:
             if command.operation != _START:
                 continue
-            if outcome_unknown:
+            if outcome is DeliveryOutcome.UNKNOWN:
                 machine.unacknowledged_starts[(command.task, command.attempt)] = now
             attempt = machine.placed.get(split_task(command.task))
             if attempt is not None and attempt.attempt == command.attempt:
--- a/spindleglade/workers/test_command_dispatcher.py
+++ b/spindleglade/workers/test_command_dispatcher.py
@@ -49,7 +49,7 @@
     assert list(harness.cluster.dispatch_queue) == ["n-1"] and harness.direct_commands() == START
     assert harness.direct_commands() == [] and not harness.cluster.dispatch_queue
     # A command that was never sent is queued again.
-    harness.cluster.on_commands_sent(harness.cluster.machines["n-1"], START, False, harness.now)
+    harness.on_commands_sent(START, outcome_unknown=False)
     assert list(harness.cluster.dispatch_queue) == ["n-1"]
 
 
--- a/spindleglade/workers/test_lossy_network.py
+++ b/spindleglade/workers/test_lossy_network.py
@@ -80,16 +80,14 @@
 
     @rule(outcome=st.sampled_from(["answered", "response lost", "delayed", "lost"]))
     def send(self, outcome):
-        for machine, batch in self.harness.cluster.take_direct_commands():
+        for _, batch in self.harness.cluster.take_direct_commands():
             if outcome in ("answered", "response lost"):
                 self.receive(batch)
                 self.delivered.append(batch)
             if outcome == "delayed":
                 self.delayed.append(batch)
             heartbeat = self.next_heartbeat() if outcome == "answered" else None
-            self.harness.cluster.on_commands_sent(
-                machine, batch.commands, heartbeat is None, self.harness.now
-            )
+            self.harness.on_commands_sent(batch.commands, outcome_unknown=heartbeat is None)
             if heartbeat is not None:
                 self.harness.cluster.on_heartbeat(heartbeat, self.harness.now, False)
 
--- a/tests/cluster_harness.py
+++ b/tests/cluster_harness.py
@@ -9,6 +9,7 @@
 from spindleglade.submissions.messages import Submission
 from spindleglade.submissions.records import JobRecord
 from spindleglade.workers.cluster_state import ClusterState
+from spindleglade.workers.command_selection import DeliveryOutcome
 from spindleglade.workers.machines import MachineTypeCapacity
 from spindleglade.workers.messages import Command, Heartbeat, TaskStatus
 from spindleglade.workers.policy import WorkerPolicy
@@ -102,7 +103,8 @@
         return [command for batch in batches for command in batch.commands]
 
     def on_commands_sent(self, commands, outcome_unknown):
-        self.cluster.on_commands_sent(self.cluster.machines["n-1"], commands, outcome_unknown, self.now)
+        outcome = DeliveryOutcome.UNKNOWN if outcome_unknown else DeliveryOutcome.ANSWERED
+        self.cluster.on_commands_sent(self.cluster.machines["n-1"], commands, outcome, self.now)
 
     def cancel(self):
         self.cluster.observe_job(JobRecord("aborted", spec(), 1), 50)
