--- a/tests/test_late_start_copies.py
+++ b/tests/test_late_start_copies.py
@@ -7,6 +7,7 @@
 from spindleglade.workers.command_selection import CommandSelection
 from tests.deployment_config import CANCEL_TIMEOUT
 from tests.start_copies import CopyingDeployment, count_executions, play
+from tests.waiting import run_until
 
 JOB = "job-000001"
 FIRST_TASK = f"{JOB}/0"
@@ -111,10 +112,8 @@
     deployment.run(seconds(3))
     land(deployment, monkeypatch)
     deployment.users.submit(1, threads=2, vcpus=5.0, run_s=RUN_TIMES_S)
-    while (running := first_attempt(deployment)) is None:
-        assert deployment.clock.now() < seconds(60)
-        deployment.run(seconds(0.1))
-    return running
+    run_until(deployment, lambda: first_attempt(deployment) is not None, 57.0)
+    return first_attempt(deployment)
 
 
 def deliver_copies(deployment, rounds=COPY_ROUNDS):
@@ -133,8 +132,7 @@
     deployment.run(seconds(0.4))
     assert deployment.network.started_directly(FIRST_TASK) == (land is not land_in_response)
     end(deployment, worker, task)
-    while task.state == "running":
-        deployment.run(seconds(0.1))
+    run_until(deployment, lambda: task.state != "running")
     come_back(deployment, worker)
     deliver_copies(deployment)
     deployment.users.cancel(JOB)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,19 +6,12 @@
 from tests.fakes.worker import Worker
 from tests.simulated_deployment import SimulatedDeployment
 from tests.simulation.job_records import job_of
+from tests.waiting import run_until
 
 TASK_DURATION_S = 1.0
 LONG_TASK_S = 600.0
 
 
-def run_until(deployment, condition, limit_s=30.0):
-    """Runs the deployment until the condition holds. Fails if it does not within the limit."""
-    end = deployment.clock.now() + seconds(limit_s)
-    while not condition():
-        assert deployment.clock.now() < end
-        deployment.run(seconds(0.1))
-
-
 def start_deployment(seed, machines):
     """Returns a deployment with a long task on each of its machines, which are therefore not terminated."""
     deployment = SimulatedDeployment(seed, capacity=machines)
@@ -70,7 +63,7 @@
     for number in (1, 2):
         submit(deployment, number)
     (machine,) = deployment.leading_controller().leader.cluster.machines.values()
-    run_until(deployment, lambda: machine.quarantined)
+    run_until(deployment, lambda: machine.quarantined, 30.0)
     for job in mistaken:
         deployment.users.cancel(job)
     sound = submit(deployment, 3)
@@ -86,7 +79,7 @@
     failures.machines.add(faulty.name)
     for number in range(1, 7):
         submit(deployment, number)
-    run_until(deployment, lambda: faulty.quarantined)
+    run_until(deployment, lambda: faulty.quarantined, 30.0)
     cancelled, *others = sorted(faulty.failed_jobs)
     deployment.users.cancel(cancelled)
     failed_before = len(failures.failed_tasks)
